--- /dev/null
+++ b/internal/scheduler/apply.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import "time"
+
+// Event is something that happened: work arrived, an exchange ended, a record
+// was read, time passed. Each event type is a value; its fields are all that
+// the decision may depend on beside the state and the time.
+type Event interface {
+	apply(t *step)
+}
+
+// Apply decides what an event changes and what is to be done. It does no
+// input or output, reads no clock and keeps nothing beside the state, so the
+// same state, event and time always give the same result.
+func (s State) Apply(e Event, now time.Time) (State, []Effect) {
+	t := &step{s: s, now: now}
+	e.apply(t)
+	return t.s, t.effects
+}
+
+// step is one application of an event. It lives only during Apply.
+type step struct {
+	s       State
+	now     time.Time
+	effects []Effect
+}
+
+func (t *step) emit(e Effect) {
+	t.effects = append(t.effects, e)
+}
+
+// Ticked tells that time has passed.
+type Ticked struct{}
+
+func (Ticked) apply(t *step) {
+	t.expireWaits()
+	t.lapseSlots()
+	t.watchMembers()
+	t.claimAll()
+	t.resendGifts()
+	t.giveAll()
+	t.balance()
+	t.pollLost()
+	t.watchWorkers()
+	t.placeItems()
+	t.keepRecords()
+	t.pump()
+}
+
+// PolicyChanged tells that the settings that decisions depend on have changed.
+type PolicyChanged struct {
+	Policy Policy
+}
+
+func (e PolicyChanged) apply(t *step) {
+	t.s.Policy = e.Policy.withDefaults()
+}
+
+// DrainStarted tells that this entry is to stop: it gives away what it owns
+// and takes no new work for itself.
+type DrainStarted struct{}
+
+func (DrainStarted) apply(t *step) {
+	t.s.Draining = true
+	t.giveAll()
+	t.pump()
+}
+
+var (
+	_ Event = Ticked{}
+	_ Event = PolicyChanged{}
+	_ Event = DrainStarted{}
+)
--- /dev/null
+++ b/internal/scheduler/claim.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// Claim is the recorded ownership of one resource: a server, a worker or a
+// tranche of the zone's allowances.
+//
+// Line is the order of succession after the owner. It is append-only in the
+// sense that a later claim never puts an entry ahead of another one that may
+// still act on the older order; where an owner does reorder, it names the
+// entries that were overtaken in Over, and the new order has no force before
+// each of them is known to have read the claim or is proven dead.
+type Claim struct {
+	Owner EntryID   `json:"owner"`
+	Epoch int64     `json:"epoch"` // offset of the record, 0 for none
+	Line  []EntryID `json:"line"`
+	Over  []EntryID `json:"over,omitempty"`
+	Hand  int       `json:"hand,omitempty"` // direct handovers since the record
+	Read  time.Time `json:"-"`              // when this entry read the record
+}
+
+// WithHeir returns the claim handed over directly to a new owner, who leaves
+// the line.
+func (c Claim) WithHeir(owner EntryID) Claim {
+	c.Owner = owner
+	c.Hand++
+	c.Line = slices.DeleteFunc(slices.Clone(c.Line), func(e EntryID) bool { return e == owner })
+	return c
+}
+
+// WithLine returns the claim with another order of succession.
+func (c Claim) WithLine(line, over []EntryID) Claim {
+	c.Line = line
+	c.Over = over
+	return c
+}
+
+// Newer reports whether c follows o in the history of a resource.
+func (c Claim) Newer(o Claim) bool {
+	if c.Epoch != o.Epoch {
+		return c.Epoch > o.Epoch
+	}
+	return c.Hand > o.Hand
+}
+
+// Hold is this entry's right to act as the owner of one resource.
+type Hold struct {
+	Recorded bool  // the log shows this entry as the owner
+	Basis    int64 // epoch of the claim that the right rests on
+}
+
+// WithRecorded returns the hold once the log shows it.
+func (h Hold) WithRecorded(epoch int64) Hold {
+	h.Recorded = true
+	h.Basis = epoch
+	return h
+}
+
+// Gift is a resource that this entry has given away and whose receipt is not
+// yet confirmed. The entry has no right to act on it any more.
+type Gift struct {
+	To      EntryID
+	Claim   Claim
+	Running []Carried
+	Sent    time.Time
+	Broken  bool // an earlier receiver died
+}
--- /dev/null
+++ b/internal/scheduler/effect.go
@@ -0,0 +1,138 @@
+package scheduler
+
+import "time"
+
+// Effect is something that the control thread asks traffic goroutines to do.
+// An effect is a value: it holds all that is needed and refers to no state.
+type Effect interface {
+	effect()
+}
+
+// Place lets the waiting request go to a server of this entry.
+type Place struct {
+	Request string
+	Server  string
+	Address string
+	Until   time.Time // the exchange ends at the latest then
+}
+
+// Forward lets the waiting request go to another entry.
+type Forward struct {
+	Request string
+	Entry   Entry
+}
+
+// Refuse ends the waiting request with the outcome NotRun.
+type Refuse struct {
+	Request string
+	Reason  Reason
+	After   time.Duration // when to try again, 0 for no advice
+}
+
+// Append writes records to a stream of the log. The answer is of no account:
+// what happened is learned by reading the stream.
+type Append struct {
+	Stream  string
+	Records []Record
+}
+
+// Probe asks an entry for its digest.
+type Probe struct {
+	Entry Entry
+}
+
+// Give hands a resource to another entry together with what runs on it.
+type Give struct {
+	To       Entry
+	From     Entry
+	Resource string
+	Claim    Claim
+	Running  []Carried
+	Broken   bool // an earlier receiver died and may have left work behind
+}
+
+// Carried is a request in progress on a server whose ownership changes.
+type Carried struct {
+	Request string    `json:"request"`
+	Until   time.Time `json:"until"`
+}
+
+// Free tells the owner of a server that a carried request ended.
+type Free struct {
+	To      Entry
+	Server  string
+	Request string
+}
+
+// Poll asks a server how many of its slots are busy.
+type Poll struct {
+	Server  string
+	Address string
+	Lost    []string // requests that the answer may prove ended
+}
+
+// Launch starts tasks on a worker under a lease.
+type Launch struct {
+	Worker  string
+	Address string
+	Tasks   []Task
+	Expiry  time.Time // absolute end of the lease
+}
+
+// Task is one member of an item as a worker sees it.
+type Task struct {
+	ID    string        `json:"id"`
+	Item  string        `json:"item"`
+	Fence int64         `json:"fence"`
+	Size  Size          `json:"size"`
+	Run   time.Duration `json:"run"` // 0 for a service
+}
+
+// Ask asks a worker which tasks it runs and which have ended.
+type Ask struct {
+	Worker  string
+	Address string
+}
+
+// Renew extends the leases of tasks on a worker.
+type Renew struct {
+	Worker  string
+	Address string
+	Tasks   []string
+	Expiry  time.Time
+}
+
+// Halt ends a task on a worker.
+type Halt struct {
+	Worker  string
+	Address string
+	Task    string
+}
+
+func (Place) effect()   {}
+func (Forward) effect() {}
+func (Refuse) effect()  {}
+func (Append) effect()  {}
+func (Probe) effect()   {}
+func (Give) effect()    {}
+func (Free) effect()    {}
+func (Poll) effect()    {}
+func (Launch) effect()  {}
+func (Ask) effect()     {}
+func (Renew) effect()   {}
+func (Halt) effect()    {}
+
+var (
+	_ Effect = Place{}
+	_ Effect = Forward{}
+	_ Effect = Refuse{}
+	_ Effect = Append{}
+	_ Effect = Probe{}
+	_ Effect = Give{}
+	_ Effect = Free{}
+	_ Effect = Poll{}
+	_ Effect = Launch{}
+	_ Effect = Ask{}
+	_ Effect = Renew{}
+	_ Effect = Halt{}
+)
--- /dev/null
+++ b/internal/scheduler/entry.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// EntryID identifies one life of an entry instance. A restarted process has
+// the same name and another incarnation.
+type EntryID struct {
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// String returns the form used as a key and in logs.
+func (e EntryID) String() string {
+	return fmt.Sprintf("%s#%d", e.Name, e.Incarnation)
+}
+
+// Entry is one life of an entry instance with its addresses.
+type Entry struct {
+	ID      EntryID `json:"id"`
+	Zone    Zone    `json:"zone"`
+	Peer    string  `json:"peer"`    // address of the jsonrpc2 listener
+	Forward string  `json:"forward"` // address for requests from other entries
+}
+
+// Digest is what an entry tells its peers about itself.
+type Digest struct {
+	Entry    Entry `json:"entry"`
+	Config   int64 `json:"config"`   // offset of the configuration in force
+	Acked    int64 `json:"acked"`    // offset in the zone's stream, see State.acked
+	Free     int   `json:"free"`     // free slots on held servers
+	Queue    int   `json:"queue"`    // requests waiting
+	Ready    bool  `json:"ready"`    // serves callers and may own resources
+	Draining bool  `json:"draining"` // gives away what it holds
+}
+
+// Member is what this entry knows of another entry.
+type Member struct {
+	Digest  Digest
+	Heard   time.Time // when the last digest arrived
+	Refused time.Time // when its address first refused, zero if it answered since
+	Probed  time.Time // when the last probe was sent
+	Dead    bool      // proven: it can never act again
+	Listed  bool      // seen in the platform's list
+	Missing time.Time // since when it is not in that list, zero if it is
+}
+
+// WithDigest returns the member after a digest from it.
+func (m Member) WithDigest(d Digest, now time.Time) Member {
+	m.Digest = d
+	m.Heard = now
+	m.Refused = time.Time{}
+	return m
+}
+
+// WithRefused returns the member after its address refused a connection.
+func (m Member) WithRefused(at time.Time) Member {
+	m.Refused = at
+	return m
+}
+
+// WithProbed returns the member after a probe was sent to it.
+func (m Member) WithProbed(at time.Time) Member {
+	m.Probed = at
+	return m
+}
+
+// WithDead returns the member with the proof that it can never act again.
+func (m Member) WithDead() Member {
+	m.Dead = true
+	return m
+}
+
+// WithListed returns the member after a list of the platform was read.
+func (m Member) WithListed(present bool, now time.Time) Member {
+	switch {
+	case present:
+		m.Listed = true
+		m.Missing = time.Time{}
+	case m.Missing.IsZero():
+		m.Missing = now
+	}
+	return m
+}
+
+// Usable reports whether work may be sent to the member.
+func (m Member) Usable(now time.Time, silence time.Duration) bool {
+	return !m.Dead && m.Digest.Ready && !m.Digest.Draining && now.Sub(m.Heard) <= silence
+}
--- /dev/null
+++ b/internal/scheduler/item.go
@@ -0,0 +1,151 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// ItemKind says how a work item for workers is treated.
+type ItemKind string
+
+// Kinds of work items for workers.
+const (
+	ItemService  ItemKind = "service"  // runs until it is cancelled
+	ItemDeferred ItemKind = "deferred" // runs once, before its deadline
+	ItemGang     ItemKind = "gang"     // all members start together or none
+)
+
+// ItemPhase says where a work item stands in the ledger.
+type ItemPhase string
+
+// Phases of an item. Only ledger records move an item between phases, so all
+// readers of the zone's stream agree on them.
+const (
+	ItemPending   ItemPhase = "pending"   // waits for workers
+	ItemRunning   ItemPhase = "running"   // started, or about to be
+	ItemStopping  ItemPhase = "stopping"  // its members are being ended
+	ItemDone      ItemPhase = "done"      // every member ended well
+	ItemFailed    ItemPhase = "failed"    // a member reported failure
+	ItemCancelled ItemPhase = "cancelled" // by its submitter
+)
+
+// Ended reports whether the phase is final.
+func (p ItemPhase) Ended() bool {
+	return p == ItemDone || p == ItemFailed || p == ItemCancelled
+}
+
+// Work is what a submitter asks for. Members is the number of tasks, each of
+// the given size; for a gang they start together.
+type Work struct {
+	ID       string        `json:"id"`
+	Kind     ItemKind      `json:"kind"`
+	Plan     string        `json:"plan"`
+	Name     string        `json:"name"`
+	Members  int           `json:"members"`
+	Size     Size          `json:"size"`
+	Run      time.Duration `json:"run"`      // declared run time, nanoseconds, 0 for a service
+	Deadline time.Time     `json:"deadline"` // zero for none
+}
+
+// Total returns the size of all members together.
+func (w Work) Total() Size {
+	var total Size
+	for range w.Members {
+		total = total.Plus(w.Size)
+	}
+	return total
+}
+
+// Placement is one member of an item on a worker.
+type Placement struct {
+	Worker string    `json:"worker"`
+	Task   string    `json:"task"`            // unique per member and attempt
+	Ended  bool      `json:"ended,omitempty"` // proven by a ledger record not to run any more
+	Lapse  time.Time `json:"-"`               // when the last lease that may be in force ends
+}
+
+// Item is a work item with its place in the ledger. It is exclusive: a member
+// is never started again while an earlier start of it may still run.
+type Item struct {
+	Work     Work
+	Phase    ItemPhase
+	Then     ItemPhase // phase that follows ItemStopping
+	Epoch    int64     // offset of the last start, fencing number of its tasks
+	Attempt  int
+	Placed   []Placement
+	Reserved bool      // this entry has reserved Placed and waits for its record
+	Why      string    // reason of the state
+	Kept     time.Time // when the log last told of the item
+	Taken    time.Time // when the item last became pending, as this entry saw it
+}
+
+// WithPhase returns the item in another phase.
+func (i Item) WithPhase(p ItemPhase) Item {
+	i.Phase = p
+	return i
+}
+
+// WithStopping returns the item whose members are being ended before it
+// enters the phase then.
+func (i Item) WithStopping(then ItemPhase, why string) Item {
+	i.Phase = ItemStopping
+	i.Then = then
+	i.Why = why
+	return i
+}
+
+// WithStart returns the item started by the record at an offset.
+func (i Item) WithStart(placed []Placement, epoch int64) Item {
+	i.Phase = ItemRunning
+	i.Placed = slices.Clone(placed)
+	i.Epoch = epoch
+	i.Attempt++
+	i.Reserved = false
+	i.Why = ""
+	return i
+}
+
+// WithReserved returns the item with members reserved by this entry.
+func (i Item) WithReserved(placed []Placement) Item {
+	i.Placed = placed
+	i.Reserved = true
+	return i
+}
+
+// WithPending returns the item without placements, pending since a time.
+func (i Item) WithPending(at time.Time) Item {
+	i.Phase = ItemPending
+	i.Placed = nil
+	i.Reserved = false
+	i.Taken = at
+	return i
+}
+
+// WithPlacement returns the item with one placement replaced.
+func (i Item) WithPlacement(index int, p Placement) Item {
+	i.Placed = slices.Clone(i.Placed)
+	i.Placed[index] = p
+	return i
+}
+
+// WithWhy returns the item with the reason of its state.
+func (i Item) WithWhy(why string) Item {
+	i.Why = why
+	return i
+}
+
+// AllEnded reports whether no placement may still run.
+func (i Item) AllEnded() bool {
+	return !slices.ContainsFunc(i.Placed, func(p Placement) bool { return !p.Ended })
+}
+
+// index returns the position of a task among the placements, or -1.
+func (i Item) index(task string) int {
+	return slices.IndexFunc(i.Placed, func(p Placement) bool { return p.Task == task })
+}
+
+// taskName names one member of one attempt.
+func taskName(item string, attempt, member int) string {
+	return fmt.Sprintf("%s.%d.%d", item, attempt, member)
+}
--- /dev/null
+++ b/internal/scheduler/items.go
@@ -0,0 +1,400 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxPlacedItems bounds how many pending items one event looks at.
+	maxPlacedItems = 64
+	// placingTurn is how long a pending item is left to one entry before the
+	// next one tries.
+	placingTurn = 500 * time.Millisecond
+	// farDeadline orders items without a deadline behind the others.
+	farDeadline = 365 * 24 * time.Hour
+)
+
+func due(i Item) time.Time {
+	if i.Work.Deadline.IsZero() {
+		return i.Taken.Add(farDeadline)
+	}
+	return i.Work.Deadline
+}
+
+// Feasible reports why work can never run in this zone, or an empty string.
+func (s State) Feasible(w Work) string {
+	if _, ok := s.Config.Plan(w.Plan); !ok {
+		return "plan " + w.Plan + " is not in the list of plans"
+	}
+	a, ok := s.Config.Allowance(w.Plan)
+	if !ok || !w.Total().Fits(s.Policy.zoneShareSize(a.Size, s.Self.Zone)) {
+		return "plan " + w.Plan + " is not allowed that much in zone " + string(s.Self.Zone)
+	}
+	room := 0
+	for _, worker := range s.Workers.All() {
+		if !worker.Gone {
+			room += fitting(w.Size, worker.Instance.Size, w.Members)
+		}
+	}
+	if room < w.Members {
+		return "the workers of zone " + string(s.Self.Zone) + " can never hold all members at once"
+	}
+	return ""
+}
+
+// fitting returns how many members of a size fit into room, at most limit.
+func fitting(size, room Size, limit int) int {
+	n := 0
+	for n < limit && size.Fits(room) {
+		room = room.Minus(size)
+		n++
+	}
+	return n
+}
+
+func (t *step) applySubmit(offset int64, r SubmitRecord) {
+	if t.s.Items.Has(r.Work.ID) {
+		return
+	}
+	i := Item{Work: r.Work, Epoch: offset, Kept: t.now}.WithPending(t.now)
+	t.putItem(i)
+	t.s.Pending = t.s.Pending.With(due(i), r.Work.ID)
+}
+
+func (t *step) putItem(i Item) {
+	t.s.Items = t.s.Items.With(i.Work.ID, i)
+	if i.Phase.Ended() && i.AllEnded() {
+		t.s.Live = t.s.Live.Without(i.Work.ID)
+		return
+	}
+	t.s.Live = t.s.Live.With(i.Work.ID, true)
+}
+
+// placeItems reserves workers for pending items, earliest deadline first, and
+// asks the log to record their start.
+func (t *step) placeItems() {
+	if t.s.Draining || t.s.Pending.Len() == 0 {
+		return
+	}
+	looked := 0
+	for _, id := range t.s.Pending.All() {
+		if looked == maxPlacedItems {
+			return
+		}
+		looked++
+		i, _ := t.s.Items.Get(id)
+		if !i.Reserved && t.myTurn(i) {
+			t.reserve(i)
+		}
+	}
+}
+
+// myTurn reports whether this entry is to try a pending item now. The turn
+// goes round by rank, so that the item meets every entry's workers.
+func (t *step) myTurn(i Item) bool {
+	candidates := t.candidates()
+	if len(candidates) == 0 {
+		return false
+	}
+	turn := int(t.now.Sub(i.Taken) / placingTurn)
+	return rank(i.Work.ID, candidates)[turn%len(candidates)] == t.s.Self.ID
+}
+
+func (t *step) reserve(i Item) {
+	a, _ := t.s.Config.Allowance(i.Work.Plan)
+	limit := t.s.Policy.zoneShareSize(a.Size, t.s.Self.Zone)
+	used, _ := t.s.Planned.Get(i.Work.Plan)
+	if !used.Plus(i.Work.Total()).Fits(limit) {
+		t.explain(i, "the plan's allowance in the zone is used")
+		return
+	}
+	placed, ok := t.choose(i)
+	if !ok {
+		t.explain(i, "no owned workers have room for all members")
+		return
+	}
+	for _, p := range placed {
+		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(i.Work.Size) })
+	}
+	i = i.WithReserved(placed)
+	i.Taken = t.now
+	t.s.Pending = t.s.Pending.Without(due(i), i.Work.ID)
+	t.s.Reserved = t.s.Reserved.With(i.Work.ID, t.now)
+	t.putItem(i)
+	t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: []Record{StartRecord{
+		Item: i.Work.ID, Attempt: i.Attempt, By: t.s.Self.ID, Limit: limit, Placed: placed,
+	}}})
+}
+
+func (t *step) explain(i Item, why string) {
+	if i.Why != why {
+		t.putItem(i.WithWhy(why))
+	}
+}
+
+// choose finds held workers for all members, filling the fullest worker that
+// has room first, so that whole workers stay free for large items.
+func (t *step) choose(i Item) ([]Placement, bool) {
+	var placed []Placement
+	for _, w := range t.usableWorkers() {
+		room := w.Free()
+		for len(placed) < i.Work.Members && i.Work.Size.Fits(room) {
+			room = room.Minus(i.Work.Size)
+			task := taskName(i.Work.ID, i.Attempt, len(placed))
+			placed = append(placed, Placement{Worker: w.Instance.Name, Task: task})
+		}
+	}
+	return placed, len(placed) == i.Work.Members
+}
+
+// usableWorkers returns the held and recorded workers that answer, fullest first.
+func (t *step) usableWorkers() []Worker {
+	var usable []Worker
+	for name, w := range t.s.Workers.All() {
+		hold, ok := t.s.Holds.Get(WorkerResource(name))
+		if !ok || !hold.Recorded || !t.s.takesWork(w.Instance, w.Gone) {
+			continue
+		}
+		lease, _ := t.s.Leases.Get(name)
+		if t.now.Sub(lease.Heard) < t.s.Policy.Lease {
+			usable = append(usable, w)
+		}
+	}
+	slices.SortFunc(usable, func(a, b Worker) int {
+		if a.Free().CPU != b.Free().CPU {
+			return int(a.Free().CPU - b.Free().CPU)
+		}
+		if a.Instance.Name < b.Instance.Name {
+			return -1
+		}
+		return 1
+	})
+	return usable
+}
+
+// applyStart accepts a start in the order of the log, by rules that depend
+// only on records before it, so that every reader decides alike.
+func (t *step) applyStart(offset int64, r StartRecord) {
+	i, ok := t.s.Items.Get(r.Item)
+	if !ok {
+		return
+	}
+	mine := r.By == t.s.Self.ID && i.Reserved
+	if mine {
+		t.unreserve(i)
+		i, _ = t.s.Items.Get(r.Item)
+	}
+	if i.Phase != ItemPending || i.Attempt != r.Attempt || !t.ownsAll(r) {
+		return
+	}
+	used, _ := t.s.Planned.Get(i.Work.Plan)
+	if !used.Plus(i.Work.Total()).Fits(r.Limit) {
+		return
+	}
+	if i.Reserved {
+		t.unreserve(i)
+		i, _ = t.s.Items.Get(r.Item)
+	}
+	t.s.Pending = t.s.Pending.Without(due(i), r.Item)
+	i = i.WithStart(r.Placed, offset)
+	t.s.Planned = t.s.Planned.With(i.Work.Plan, used.Plus(i.Work.Total()))
+	for index, p := range i.Placed {
+		p.Lapse = t.now.Add(t.s.Policy.Lease)
+		i = i.WithPlacement(index, p)
+		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(i.Work.Size) })
+		t.addTask(p.Worker, p.Task, r.Item)
+	}
+	t.putItem(i)
+	if r.By == t.s.Self.ID {
+		t.launchOrAbandon(i)
+	}
+}
+
+// launchOrAbandon starts the tasks of an item, or ends them unstarted where a
+// late record of an earlier reservation has used up the room.
+func (t *step) launchOrAbandon(i Item) {
+	for _, p := range i.Placed {
+		w, _ := t.s.Workers.Get(p.Worker)
+		if w.Used.Fits(w.Instance.Size) && t.s.Holds.Has(WorkerResource(p.Worker)) {
+			continue
+		}
+		t.abandon(i)
+		return
+	}
+	t.launch(i)
+}
+
+func (t *step) abandon(i Item) {
+	var records []Record
+	for _, p := range i.Placed {
+		records = append(records, FinishRecord{Item: i.Work.ID, Task: p.Task, End: EndHalted, Why: "no room at the start"})
+	}
+	t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
+}
+
+// ownsAll reports whether the log shows the writer of a start as the owner of
+// every worker that it names.
+func (t *step) ownsAll(r StartRecord) bool {
+	for _, p := range r.Placed {
+		c, ok := t.s.Claims.Get(WorkerResource(p.Worker))
+		if !ok || c.Owner != r.By {
+			return false
+		}
+	}
+	return true
+}
+
+// unreserve gives back what this entry reserved for an item.
+func (t *step) unreserve(i Item) {
+	for _, p := range i.Placed {
+		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(Size{}.Minus(i.Work.Size)) })
+	}
+	t.s.Reserved = t.s.Reserved.Without(i.Work.ID)
+	i = i.WithPending(i.Taken)
+	t.putItem(i)
+	t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
+}
+
+func (t *step) launch(i Item) {
+	byWorker := map[string][]Task{}
+	for _, p := range i.Placed {
+		task := Task{ID: p.Task, Item: i.Work.ID, Fence: i.Epoch, Size: i.Work.Size}
+		if i.Work.Kind != ItemService {
+			task.Run = i.Work.Run
+		}
+		byWorker[p.Worker] = append(byWorker[p.Worker], task)
+	}
+	for _, name := range sortedKeys(byWorker) {
+		w, _ := t.s.Workers.Get(name)
+		t.emit(Launch{
+			Worker:  name,
+			Address: w.Instance.Address,
+			Tasks:   byWorker[name],
+			Expiry:  t.now.Add(t.s.Policy.Lease),
+		})
+	}
+}
+
+// applyFinish ends one task. What follows for the item depends on the ends of
+// all of them.
+func (t *step) applyFinish(r FinishRecord) {
+	i, ok := t.s.Items.Get(r.Item)
+	index := i.index(r.Task)
+	if !ok || index < 0 || i.Placed[index].Ended || i.Reserved {
+		return
+	}
+	p := i.Placed[index]
+	p.Ended = true
+	i = i.WithPlacement(index, p)
+	t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(Size{}.Minus(i.Work.Size)) })
+	t.removeTask(p.Worker, p.Task)
+	used, _ := t.s.Planned.Get(i.Work.Plan)
+	t.s.Planned = t.s.Planned.With(i.Work.Plan, used.Minus(i.Work.Size))
+	if i.Phase == ItemRunning {
+		switch r.End {
+		case EndFailed:
+			i = i.WithStopping(ItemFailed, r.Why)
+		case EndLost, EndHalted:
+			i = i.WithStopping(ItemPending, r.Why)
+		}
+	}
+	t.putItem(t.afterEnd(i))
+	t.haltRest(i)
+}
+
+// afterEnd moves an item on once none of its tasks may still run.
+func (t *step) afterEnd(i Item) Item {
+	if !i.AllEnded() {
+		return i
+	}
+	switch {
+	case i.Phase == ItemRunning:
+		return i.WithPhase(ItemDone)
+	case i.Phase == ItemStopping && i.Then == ItemPending:
+		i = i.WithPending(t.now)
+		t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
+		return i
+	case i.Phase == ItemStopping:
+		return i.WithPhase(i.Then)
+	}
+	return i
+}
+
+// haltRest ends the tasks of an item that must not go on.
+func (t *step) haltRest(i Item) {
+	if i.Phase != ItemStopping && i.Phase != ItemCancelled {
+		return
+	}
+	for _, p := range i.Placed {
+		w, ok := t.s.Workers.Get(p.Worker)
+		if !p.Ended && ok && t.s.Holds.Has(WorkerResource(p.Worker)) {
+			t.emit(Halt{Worker: p.Worker, Address: w.Instance.Address, Task: p.Task})
+		}
+	}
+}
+
+func (t *step) applyCancel(r CancelRecord) {
+	i, ok := t.s.Items.Get(r.Item)
+	if !ok || i.Phase.Ended() {
+		return
+	}
+	if i.Reserved {
+		t.unreserve(i)
+		i, _ = t.s.Items.Get(r.Item)
+	}
+	if i.Phase == ItemPending {
+		t.s.Pending = t.s.Pending.Without(due(i), r.Item)
+		t.putItem(i.WithPhase(ItemCancelled))
+		return
+	}
+	i = i.WithStopping(ItemCancelled, "cancelled")
+	t.putItem(i)
+	t.haltRest(i)
+}
+
+// applyKeep makes an item known to a reader that began after its records were
+// trimmed.
+func (t *step) applyKeep(r KeepRecord) {
+	i := r.Item
+	if known, ok := t.s.Items.Get(i.Work.ID); ok {
+		known.Kept = t.now
+		t.putItem(known)
+		return
+	}
+	i.Kept = t.now
+	if i.Phase == ItemPending {
+		i = i.WithPending(t.now)
+		t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
+		t.putItem(i)
+		return
+	}
+	used, _ := t.s.Planned.Get(i.Work.Plan)
+	for index, p := range i.Placed {
+		if p.Ended {
+			continue
+		}
+		used = used.Plus(i.Work.Size)
+		p.Lapse = t.now.Add(t.s.Policy.Lease)
+		i = i.WithPlacement(index, p)
+		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(i.Work.Size) })
+		t.addTask(p.Worker, p.Task, i.Work.ID)
+	}
+	t.s.Planned = t.s.Planned.With(i.Work.Plan, used)
+	t.putItem(i)
+}
+
+func (t *step) changeWorker(name string, change func(Worker) Worker) {
+	w, _ := t.s.Workers.Get(name)
+	t.s.Workers = t.s.Workers.With(name, change(w))
+}
+
+func (t *step) addTask(worker, task, item string) {
+	tasks, _ := t.s.Tasks.Get(worker)
+	t.s.Tasks = t.s.Tasks.With(worker, tasks.With(task, item))
+}
+
+func (t *step) removeTask(worker, task string) {
+	tasks, _ := t.s.Tasks.Get(worker)
+	t.s.Tasks = t.s.Tasks.With(worker, tasks.Without(task))
+}
--- /dev/null
+++ b/internal/scheduler/members.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import "slices"
+
+// DigestHeard tells that another entry described itself.
+type DigestHeard struct {
+	Digest Digest
+}
+
+func (e DigestHeard) apply(t *step) {
+	id := e.Digest.Entry.ID
+	if id.Name == t.s.Self.ID.Name {
+		return
+	}
+	m, _ := t.s.Members.Get(id.String())
+	if m.Dead {
+		return
+	}
+	if m.Digest.Acked > e.Digest.Acked {
+		e.Digest.Acked = m.Digest.Acked
+	}
+	t.s.Members = t.s.Members.With(id.String(), m.WithDigest(e.Digest, t.now))
+	t.supersede(id)
+	if t.s.Queue.Len() > 0 {
+		t.pump()
+	}
+}
+
+// supersede marks the earlier lives of an entry as dead.
+func (t *step) supersede(id EntryID) {
+	for key, m := range t.s.Members.All() {
+		other := m.Digest.Entry.ID
+		if other.Name == id.Name && other.Incarnation < id.Incarnation && !m.Dead {
+			t.s.Members = t.s.Members.With(key, m.WithDead())
+		}
+	}
+}
+
+// PeerRefused tells that the address of an entry refused a connection, which
+// the operating system does only when no process listens there.
+type PeerRefused struct {
+	Entry EntryID
+}
+
+func (e PeerRefused) apply(t *step) {
+	key := e.Entry.String()
+	m, ok := t.s.Members.Get(key)
+	if !ok || m.Dead || m.Digest.Entry.Zone != t.s.Self.Zone {
+		return
+	}
+	if m.Refused.IsZero() {
+		t.s.Members = t.s.Members.With(key, m.WithRefused(t.now))
+		return
+	}
+	if t.now.Sub(m.Refused) >= t.s.Policy.RefusalGap {
+		t.s.Members = t.s.Members.With(key, m.WithDead())
+		t.claimAll()
+	}
+}
+
+// InstancesListed tells what the platform's lagging list holds.
+type InstancesListed struct {
+	Instances []Instance
+}
+
+func (e InstancesListed) apply(t *step) {
+	t.s.Listed = true
+	t.s.Entries = Table[Instance]{}
+	seen := map[string]bool{}
+	for _, i := range e.Instances {
+		seen[string(i.Kind)+i.Name] = true
+		t.list(i)
+	}
+	t.markGone(seen)
+	t.markMissing()
+	t.pump()
+}
+
+func (t *step) list(i Instance) {
+	switch {
+	case i.Kind == KindEntry:
+		t.s.Entries = t.s.Entries.With(i.Name, i)
+	case i.Zone != t.s.Self.Zone:
+	case i.Kind == KindServer:
+		v, _ := t.s.Servers.Get(i.Name)
+		t.s.Servers = t.s.Servers.With(i.Name, v.WithInstance(i))
+	case i.Kind == KindWorker:
+		w, _ := t.s.Workers.Get(i.Name)
+		t.s.Workers = t.s.Workers.With(i.Name, w.WithInstance(i))
+	}
+}
+
+func (t *step) markGone(seen map[string]bool) {
+	for name, v := range t.s.Servers.All() {
+		if !seen[string(KindServer)+name] && !v.Gone {
+			t.s.Servers = t.s.Servers.With(name, v.WithGone())
+		}
+	}
+	for name, w := range t.s.Workers.All() {
+		if !seen[string(KindWorker)+name] && !w.Gone {
+			t.s.Workers = t.s.Workers.With(name, w.WithGone())
+		}
+	}
+}
+
+func (t *step) markMissing() {
+	for key, m := range t.s.Members.All() {
+		if m.Dead {
+			continue
+		}
+		present := t.s.Entries.Has(m.Digest.Entry.ID.Name)
+		t.s.Members = t.s.Members.With(key, m.WithListed(present, t.now))
+	}
+}
+
+// note makes sure that an entry named in a claim is known, so that its death
+// can be established.
+func (t *step) note(id EntryID) {
+	if id == t.s.Self.ID || t.s.Members.Has(id.String()) {
+		return
+	}
+	m := Member{Digest: Digest{Entry: Entry{ID: id, Zone: t.s.Self.Zone}}}
+	m.Dead = id.Name == t.s.Self.ID.Name
+	for _, other := range t.s.Members.All() {
+		known := other.Digest.Entry.ID
+		if known.Name == id.Name && known.Incarnation > id.Incarnation {
+			m.Dead = true
+		}
+	}
+	t.s.Members = t.s.Members.With(id.String(), m)
+}
+
+// watchMembers probes silent members of the zone and draws the conclusion of
+// a member's absence from the platform's list.
+func (t *step) watchMembers() {
+	for key, m := range t.s.Members.All() {
+		if m.Dead || m.Digest.Entry.Zone != t.s.Self.Zone {
+			continue
+		}
+		silent := t.now.Sub(m.Heard)
+		if silent < t.s.Policy.Silence/2 {
+			continue
+		}
+		if t.absent(m) {
+			t.s.Members = t.s.Members.With(key, m.WithDead())
+			continue
+		}
+		t.probe(key, m)
+	}
+}
+
+// absent reports whether the platform's list proves that the member is gone:
+// it lacks it for longer than it can lag and the member is silent as long.
+func (t *step) absent(m Member) bool {
+	if m.Missing.IsZero() || t.now.Sub(m.Missing) < t.s.Policy.ListLag {
+		return false
+	}
+	return t.now.Sub(m.Heard) >= t.s.Policy.ListLag
+}
+
+func (t *step) probe(key string, m Member) {
+	entry := m.Digest.Entry
+	if entry.Peer == "" {
+		i, ok := t.s.Entries.Get(entry.ID.Name)
+		if !ok {
+			return
+		}
+		entry.Peer = i.Address
+	}
+	if t.now.Sub(m.Probed) < t.s.Policy.RefusalGap {
+		return
+	}
+	t.s.Members = t.s.Members.With(key, m.WithProbed(t.now))
+	t.emit(Probe{Entry: entry})
+}
+
+// dead reports whether an entry is proven never to act again.
+func (s State) dead(id EntryID) bool {
+	m, ok := s.Members.Get(id.String())
+	return ok && m.Dead
+}
+
+// candidates returns the entries of this zone that may own resources now, in
+// a fixed order, with this entry among them unless it drains.
+func (t *step) candidates() []EntryID {
+	var ids []EntryID
+	if !t.s.Draining {
+		ids = append(ids, t.s.Self.ID)
+	}
+	for _, m := range t.s.Members.All() {
+		if m.Digest.Entry.Zone == t.s.Self.Zone && m.Usable(t.now, t.s.Policy.Silence) {
+			ids = append(ids, m.Digest.Entry.ID)
+		}
+	}
+	slices.SortFunc(ids, func(a, b EntryID) int { return compareIDs(a, b) })
+	return ids
+}
+
+func compareIDs(a, b EntryID) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	default:
+		return int(a.Incarnation - b.Incarnation)
+	}
+}
+
+var (
+	_ Event = DigestHeard{}
+	_ Event = PeerRefused{}
+	_ Event = InstancesListed{}
+)
--- /dev/null
+++ b/internal/scheduler/ownership.go
@@ -0,0 +1,542 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// ownershipPause is the time between two looks at all resources.
+	ownershipPause = 200 * time.Millisecond
+	// askPause is the time after which an append that was not read back is
+	// repeated.
+	askPause = 2 * time.Second
+	// foundingPause is how long the other entries leave an unowned resource
+	// to the one that ranks first for it.
+	foundingPause = 3 * time.Second
+	// maxLine bounds the order of succession of one resource.
+	maxLine = 4
+	// maxGifts bounds how many resources are given away at once for balance.
+	maxGifts = 8
+	// giftPause is the time after which an unconfirmed gift is sent again.
+	giftPause = 300 * time.Millisecond
+)
+
+// GiftReceived tells that the owner of a resource has given it to this entry.
+type GiftReceived struct {
+	From     Entry
+	Resource string
+	Claim    Claim
+	Running  []Carried
+	Broken   bool // an earlier receiver died and may have left work behind
+}
+
+func (e GiftReceived) apply(t *step) {
+	known, ok := t.s.Claims.Get(e.Resource)
+	if ok && !e.Claim.Newer(known) {
+		return
+	}
+	if e.Claim.Owner != t.s.Self.ID {
+		return
+	}
+	t.setClaim(e.Resource, e.Claim)
+	if e.Broken {
+		t.inherit(e.Resource, e.Claim)
+	} else {
+		t.gain(e.Resource, Hold{Basis: e.Claim.Epoch})
+		t.carry(e.Resource, e.Running)
+	}
+	t.record(e.Resource)
+	t.pump()
+}
+
+// GiftConfirmed tells that the receiver has the resource.
+type GiftConfirmed struct {
+	Resource string
+	To       EntryID
+}
+
+func (e GiftConfirmed) apply(t *step) {
+	g, ok := t.s.Gifts.Get(e.Resource)
+	if ok && g.To == e.To {
+		t.s.Gifts = t.s.Gifts.Without(e.Resource)
+	}
+}
+
+// setClaim stores a claim and notes the entries that it names.
+func (t *step) setClaim(resource string, c Claim) {
+	c.Read = t.now
+	t.s.Claims = t.s.Claims.With(resource, c)
+	t.note(c.Owner)
+	for _, id := range c.Line {
+		t.note(id)
+	}
+	for _, id := range c.Over {
+		t.note(id)
+	}
+}
+
+// gain makes this entry the acting owner of a resource.
+func (t *step) gain(resource string, h Hold) {
+	t.s.Holds = t.s.Holds.With(resource, h)
+	t.s.Gifts = t.s.Gifts.Without(resource)
+	if name, ok := strings.CutPrefix(resource, serverPrefix); ok {
+		own := t.runningOn(name)
+		t.changeServer(name, func(v Server) Server {
+			v.Busy, v.Lost = len(own), 0
+			return v
+		})
+	}
+	if name, ok := strings.CutPrefix(resource, workerPrefix); ok {
+		t.extendLapses(name, t.now.Add(t.s.Policy.Lease))
+	}
+}
+
+// runningOn returns this entry's own exchanges with a server.
+func (t *step) runningOn(server string) []Request {
+	var own []Request
+	for _, r := range t.s.Requests.All() {
+		if r.Phase == PhaseRunning && r.Server == server {
+			own = append(own, r)
+		}
+	}
+	return own
+}
+
+// carry books the requests that an earlier owner still has on a server.
+func (t *step) carry(resource string, running []Carried) {
+	name, ok := strings.CutPrefix(resource, serverPrefix)
+	if !ok {
+		return
+	}
+	for _, c := range running {
+		own, mine := t.s.Requests.Get(c.Request)
+		if mine && own.Phase == PhaseRunning && own.Server == name {
+			continue
+		}
+		r := Request{ID: carriedPrefix + c.Request, Phase: PhaseCarried, Server: name, Until: c.Until}
+		t.hold(r)
+		t.changeServer(name, func(v Server) Server { return v.WithBusy(1) })
+	}
+}
+
+// inherit gains a resource whose owner died: what the dead owner may have left
+// on it counts as in use until it is proven to have ended.
+func (t *step) inherit(resource string, c Claim) {
+	t.gain(resource, Hold{Basis: c.Epoch})
+	if _, ok := trancheIndex(resource); ok {
+		t.s.Rested = t.s.Rested.With(resource, t.now.Add(t.s.Policy.RequestLimit))
+	}
+	name, ok := strings.CutPrefix(resource, serverPrefix)
+	if !ok {
+		return
+	}
+	v, _ := t.s.Servers.Get(name)
+	for i := v.Busy; i < v.Instance.Slots; i++ {
+		id := taskName("lost/"+name, int(c.Epoch), i)
+		t.hold(Request{ID: id, Phase: PhaseLost, Server: name, Until: t.now.Add(t.s.Policy.RequestLimit)})
+		t.changeServer(name, func(v Server) Server { return v.WithBusy(1).WithLost(1) })
+	}
+}
+
+// lose ends the right to act on a resource. Slots that it carried are of no
+// account here any more.
+func (t *step) lose(resource string) {
+	t.s.Holds = t.s.Holds.Without(resource)
+	name, ok := strings.CutPrefix(resource, serverPrefix)
+	if !ok {
+		return
+	}
+	for _, r := range t.s.Requests.All() {
+		if r.Server == name && (r.Phase == PhaseCarried || r.Phase == PhaseLost) {
+			t.s.Requests = t.s.Requests.Without(r.ID)
+			t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
+		}
+	}
+	t.changeServer(name, func(v Server) Server {
+		v.Busy, v.Lost = 0, 0
+		return v
+	})
+}
+
+// heir reports whether this entry alone may act on a resource whose owner is
+// dead. Entries ahead of it in the line must be dead. Entries that the claim
+// overtook must have read it or be dead, or else they might still act on an
+// older order.
+func (s State) heir(c Claim) bool {
+	if !s.dead(c.Owner) {
+		return false
+	}
+	place := slices.Index(c.Line, s.Self.ID)
+	if place < 0 {
+		return false
+	}
+	for _, id := range c.Line[:place] {
+		if !s.dead(id) {
+			return false
+		}
+	}
+	return s.overtakenKnow(c)
+}
+
+func (s State) overtakenKnow(c Claim) bool {
+	for _, id := range c.Over {
+		if id == s.Self.ID || s.dead(id) {
+			continue
+		}
+		m, _ := s.Members.Get(id.String())
+		if m.Digest.Acked <= c.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// exhausted reports whether nobody is left who could act without the log.
+func (s State) exhausted(c Claim) bool {
+	if !s.dead(c.Owner) {
+		return false
+	}
+	for _, id := range slices.Concat(c.Line, c.Over) {
+		if !s.dead(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// resources returns every resource of this zone that takes an owner.
+func (t *step) resources() []string {
+	var names []string
+	for name := range t.s.Servers.All() {
+		names = append(names, ServerResource(name))
+	}
+	for name := range t.s.Workers.All() {
+		names = append(names, WorkerResource(name))
+	}
+	for i := range t.s.Policy.Tranches {
+		names = append(names, TrancheResource(i))
+	}
+	return names
+}
+
+// claimAll looks after the ownership of every resource of the zone.
+func (t *step) claimAll() {
+	if !t.s.ZoneRead || !t.s.Listed || t.s.Draining {
+		return
+	}
+	candidates := t.candidates()
+	for _, resource := range t.resources() {
+		t.claim(resource, candidates)
+	}
+}
+
+func (t *step) claim(resource string, candidates []EntryID) {
+	c, known := t.s.Claims.Get(resource)
+	hold, holding := t.s.Holds.Get(resource)
+	switch {
+	case holding:
+		if !hold.Recorded || t.lineShort(c, candidates) {
+			t.record(resource)
+		}
+	case known && t.s.Gifts.Has(resource):
+	case known && t.s.heir(c):
+		t.inherit(resource, c)
+		t.record(resource)
+	case !known || t.s.exhausted(c):
+		t.found(resource, c, candidates)
+	}
+}
+
+// found claims a resource that nobody may act on. The right begins when the
+// record is read back.
+func (t *step) found(resource string, c Claim, candidates []EntryID) {
+	age := t.now.Sub(t.s.Started)
+	if age < t.s.Policy.Settle {
+		return
+	}
+	first := len(candidates) > 0 && rank(resource, candidates)[0] == t.s.Self.ID
+	if !first && age < foundingPause+t.s.Policy.Settle {
+		return
+	}
+	t.appendClaim(resource, ClaimRecord{
+		Resource: resource,
+		Owner:    t.s.Self.ID,
+		Basis:    c.Epoch,
+		Line:     t.line(resource, Claim{}, candidates),
+		Found:    true,
+	})
+}
+
+// record writes the ownership of a held resource to the log.
+func (t *step) record(resource string) {
+	c, _ := t.s.Claims.Get(resource)
+	t.appendClaim(resource, ClaimRecord{
+		Resource: resource,
+		Owner:    t.s.Self.ID,
+		Basis:    c.Epoch,
+		Line:     t.line(resource, c, t.candidates()),
+		Over:     t.overtaken(c.Over),
+		Sure:     true,
+	})
+}
+
+func (t *step) appendClaim(resource string, r ClaimRecord) {
+	if t.asking(resource) {
+		return
+	}
+	t.s.Asked = t.s.Asked.With(resource, t.now)
+	t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: []Record{r}})
+}
+
+// asking reports whether a claim was appended lately and not yet read back.
+func (t *step) asking(resource string) bool {
+	asked, ok := t.s.Asked.Get(resource)
+	return ok && t.now.Sub(asked) < askPause
+}
+
+// overtaken returns the overtaken entries that may still matter.
+func (t *step) overtaken(over []EntryID) []EntryID {
+	var still []EntryID
+	for _, id := range over {
+		if id != t.s.Self.ID && !t.s.dead(id) {
+			still = append(still, id)
+		}
+	}
+	return still
+}
+
+// line returns the order of succession after this entry: those still living of
+// the old one in their order, then others by rank up to maxLine.
+func (t *step) line(resource string, c Claim, candidates []EntryID) []EntryID {
+	var line []EntryID
+	for _, id := range c.Line {
+		if id != t.s.Self.ID && !t.s.dead(id) {
+			line = append(line, id)
+		}
+	}
+	for _, id := range rank(resource, candidates) {
+		if len(line) >= maxLine {
+			break
+		}
+		if id != t.s.Self.ID && !slices.Contains(line, id) {
+			line = append(line, id)
+		}
+	}
+	return line
+}
+
+// lineShort reports whether the line lacks an entry that could be in it.
+func (t *step) lineShort(c Claim, candidates []EntryID) bool {
+	alive := 0
+	for _, id := range c.Line {
+		if !t.s.dead(id) {
+			alive++
+		}
+	}
+	return alive < min(maxLine, len(candidates)-1)
+}
+
+// give hands a held resource to an entry. From here on this entry has no right
+// to it, whether or not the message arrives.
+func (t *step) give(resource string, to EntryID) {
+	c, _ := t.s.Claims.Get(resource)
+	running := t.carriedOn(resource)
+	t.lose(resource)
+	c = c.WithHeir(to)
+	t.s.Claims = t.s.Claims.With(resource, c)
+	g := Gift{To: to, Claim: c, Running: running, Sent: t.now}
+	t.s.Gifts = t.s.Gifts.With(resource, g)
+	t.send(resource, g)
+}
+
+func (t *step) send(resource string, g Gift) {
+	m, _ := t.s.Members.Get(g.To.String())
+	t.emit(Give{To: m.Digest.Entry, From: t.s.Self, Resource: resource, Claim: g.Claim, Running: g.Running, Broken: g.Broken})
+}
+
+// carriedOn returns what runs on a server, for its next owner. Until allows
+// for an exchange that breaks at its very end.
+func (t *step) carriedOn(resource string) []Carried {
+	name, ok := strings.CutPrefix(resource, serverPrefix)
+	if !ok {
+		return nil
+	}
+	var running []Carried
+	for _, r := range t.s.Requests.All() {
+		if r.Server != name {
+			continue
+		}
+		switch r.Phase {
+		case PhaseRunning:
+			running = append(running, Carried{Request: r.ID, Until: r.Until.Add(t.s.Policy.RequestLimit)})
+		case PhaseCarried, PhaseLost:
+			running = append(running, Carried{Request: strings.TrimPrefix(r.ID, carriedPrefix), Until: r.Until})
+		}
+	}
+	return running
+}
+
+// resendGifts repeats gifts that are not confirmed. If the receiver died, the
+// next in line gets the resource.
+func (t *step) resendGifts() {
+	for resource, g := range t.s.Gifts.All() {
+		if t.s.dead(g.To) {
+			t.regive(resource, g)
+			continue
+		}
+		if t.now.Sub(g.Sent) < giftPause {
+			continue
+		}
+		g.Sent = t.now
+		t.s.Gifts = t.s.Gifts.With(resource, g)
+		t.send(resource, g)
+	}
+}
+
+// regive passes a gift whose receiver died to the next in line. The receiver
+// may have acted as the owner, so what it may have left counts as in use. With
+// nobody left in line the resource is founded anew through the log.
+func (t *step) regive(resource string, g Gift) {
+	t.s.Gifts = t.s.Gifts.Without(resource)
+	to, ok := t.next(g.Claim)
+	if !ok {
+		return
+	}
+	g = Gift{To: to, Claim: g.Claim.WithHeir(to), Sent: t.now, Broken: true}
+	t.s.Claims = t.s.Claims.With(resource, g.Claim)
+	t.s.Gifts = t.s.Gifts.With(resource, g)
+	t.send(resource, g)
+}
+
+// giveAll hands what a draining entry owns to the first living entry in line.
+func (t *step) giveAll() {
+	if !t.s.Draining {
+		return
+	}
+	for resource := range t.s.Holds.All() {
+		c, _ := t.s.Claims.Get(resource)
+		to, ok := t.next(c)
+		if !ok || !t.releasable(resource) {
+			continue
+		}
+		t.give(resource, to)
+	}
+}
+
+// next returns the first entry in line that is not dead, if it can be reached
+// and the line has force.
+func (t *step) next(c Claim) (EntryID, bool) {
+	if !t.s.overtakenKnow(c) {
+		return EntryID{}, false
+	}
+	for _, id := range c.Line {
+		if t.s.dead(id) {
+			continue
+		}
+		m, ok := t.s.Members.Get(id.String())
+		return id, ok && t.now.Sub(m.Heard) <= t.s.Policy.Silence && m.Digest.Entry.Peer != ""
+	}
+	return EntryID{}, false
+}
+
+// releasable reports whether the entry can do without a resource: a tranche
+// is given away only when what is left covers what is in use.
+func (t *step) releasable(resource string) bool {
+	if _, ok := trancheIndex(resource); !ok {
+		return true
+	}
+	rest := t.s
+	rest.Holds = rest.Holds.Without(resource)
+	for plan, used := range t.s.Used.All() {
+		if used > rest.SlotLimit(plan, t.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// balance moves held resources to the entries that rank first for them.
+func (t *step) balance() {
+	if t.s.Draining || t.now.Sub(t.s.Balanced) < ownershipPause {
+		return
+	}
+	t.s.Balanced = t.now
+	candidates := t.candidates()
+	for resource, hold := range t.s.Holds.All() {
+		if t.s.Gifts.Len() >= maxGifts {
+			return
+		}
+		first := rank(resource, candidates)[0]
+		if first != t.s.Self.ID && hold.Recorded && !t.asking(resource) {
+			t.move(resource, first)
+		}
+	}
+}
+
+// move gives a resource to an entry, first putting it at the head of the line.
+func (t *step) move(resource string, to EntryID) {
+	c, _ := t.s.Claims.Get(resource)
+	if next, ok := t.next(c); ok && next == to {
+		if t.releasable(resource) {
+			t.give(resource, to)
+		}
+		return
+	}
+	if len(c.Line) > 0 && c.Line[0] == to {
+		return
+	}
+	rest := slices.DeleteFunc(t.line(resource, c, t.candidates()), func(id EntryID) bool { return id == to })
+	over := t.overtaken(slices.Concat(c.Over, rest))
+	slices.SortFunc(over, compareIDs)
+	t.appendClaim(resource, ClaimRecord{
+		Resource: resource,
+		Owner:    t.s.Self.ID,
+		Basis:    c.Epoch,
+		Line:     append([]EntryID{to}, rest...),
+		Over:     slices.Compact(over),
+		Sure:     true,
+	})
+}
+
+// applyClaim applies a claim in the order of the log.
+func (t *step) applyClaim(offset int64, r ClaimRecord) {
+	if r.Owner == t.s.Self.ID {
+		t.s.Asked = t.s.Asked.Without(r.Resource)
+	}
+	c, known := t.s.Claims.Get(r.Resource)
+	trimmed := r.Sure && r.Basis < t.s.First && c.Epoch < t.s.First
+	if known && c.Epoch != r.Basis && !trimmed {
+		return
+	}
+	if !known && r.Basis != 0 && !trimmed {
+		return
+	}
+	t.setClaim(r.Resource, Claim{Owner: r.Owner, Epoch: offset, Line: r.Line, Over: r.Over})
+	hold, holding := t.s.Holds.Get(r.Resource)
+	switch {
+	case r.Owner == t.s.Self.ID && holding:
+		t.s.Holds = t.s.Holds.With(r.Resource, hold.WithRecorded(offset))
+	case r.Owner == t.s.Self.ID && r.Found:
+		t.foundBack(r.Resource, c, known, offset)
+	case holding && hold.Recorded:
+		t.lose(r.Resource)
+	}
+}
+
+// foundBack acts on this entry's own founding record. An earlier owner, if
+// there was one, may have left work behind.
+func (t *step) foundBack(resource string, before Claim, existed bool, offset int64) {
+	if existed {
+		t.inherit(resource, before)
+	} else {
+		t.gain(resource, Hold{})
+	}
+	t.s.Holds = t.s.Holds.With(resource, Hold{}.WithRecorded(offset))
+}
+
+var (
+	_ Event = GiftReceived{}
+	_ Event = GiftConfirmed{}
+)
--- /dev/null
+++ b/internal/scheduler/record.go
@@ -0,0 +1,121 @@
+package scheduler
+
+// Record is one entry of the platform's log, decoded. Every reader of a stream
+// sees the same records in the same order and applies them by the same rules.
+type Record interface {
+	record()
+}
+
+// ListRecord replaces one of the two lists. It is accepted only if Basis is
+// the version of the list that precedes it in the log.
+type ListRecord struct {
+	List       ListName    `json:"list"`
+	Basis      int64       `json:"basis"`
+	Nonce      string      `json:"nonce"`
+	Plans      []Plan      `json:"plans,omitempty"`
+	Allowances []Allowance `json:"allowances,omitempty"`
+	By         string      `json:"by"`
+}
+
+// MarkRecord sets the mark of one instance. The last one in the log counts.
+type MarkRecord struct {
+	Instance string `json:"instance"`
+	Mark     Mark   `json:"mark"`
+	Nonce    string `json:"nonce"`
+	By       string `json:"by"`
+}
+
+// SnapshotRecord repeats the whole configuration before the records that set
+// it are trimmed.
+type SnapshotRecord struct {
+	Config Config `json:"config"`
+}
+
+// ClaimRecord records the owner of one resource. It is accepted if Basis is
+// the epoch of the claim that precedes it, or if Sure is set and the reader
+// cannot have seen that claim because it was trimmed.
+type ClaimRecord struct {
+	Resource string    `json:"resource"`
+	Owner    EntryID   `json:"owner"`
+	Basis    int64     `json:"basis"`
+	Line     []EntryID `json:"line"`
+	Over     []EntryID `json:"over,omitempty"`
+	Sure     bool      `json:"sure,omitempty"`  // repeats a recorded ownership
+	Found    bool      `json:"found,omitempty"` // gives force only once read back
+}
+
+// SubmitRecord makes a work item known. The first one with an identifier counts.
+type SubmitRecord struct {
+	Work Work `json:"work"`
+}
+
+// StartRecord places a pending item. It is accepted if the item is pending
+// after attempt Attempt, By is the recorded owner of every worker named, and the
+// plan's use in the zone together with the item is within Limit.
+type StartRecord struct {
+	Item    string      `json:"item"`
+	Attempt int         `json:"attempt"`
+	By      EntryID     `json:"by"`
+	Limit   Size        `json:"limit"` // the zone's share of the plan's allowance
+	Placed  []Placement `json:"placed"`
+}
+
+// End says how a task ended.
+type End string
+
+// Ends of a task.
+const (
+	EndWell   End = "well"   // it reported success
+	EndFailed End = "failed" // it reported failure
+	EndLost   End = "lost"   // its lease lapsed without a report
+	EndHalted End = "halted" // it was ended on request
+)
+
+// FinishRecord ends one task of an item.
+type FinishRecord struct {
+	Item string `json:"item"`
+	Task string `json:"task"`
+	End  End    `json:"end"`
+	Why  string `json:"why,omitempty"`
+}
+
+// CancelRecord cancels an item that has not ended.
+type CancelRecord struct {
+	Item string `json:"item"`
+}
+
+// KeepRecord repeats a live item before its records are trimmed. It has an
+// effect only for a reader that does not know the item.
+type KeepRecord struct {
+	Item Item `json:"item"`
+}
+
+func (ListRecord) record()     {}
+func (MarkRecord) record()     {}
+func (SnapshotRecord) record() {}
+func (ClaimRecord) record()    {}
+func (SubmitRecord) record()   {}
+func (StartRecord) record()    {}
+func (FinishRecord) record()   {}
+func (CancelRecord) record()   {}
+func (KeepRecord) record()     {}
+
+var (
+	_ Record = ListRecord{}
+	_ Record = MarkRecord{}
+	_ Record = SnapshotRecord{}
+	_ Record = ClaimRecord{}
+	_ Record = SubmitRecord{}
+	_ Record = StartRecord{}
+	_ Record = FinishRecord{}
+	_ Record = CancelRecord{}
+	_ Record = KeepRecord{}
+)
+
+// ConfigStream is the stream that holds the two lists and the marks.
+const ConfigStream = "config"
+
+// ZoneStream names the stream of a zone: ownership and the ledger of items.
+func ZoneStream(z Zone) string {
+	return "zone-" + string(z)
+}
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import "time"
+
+// RequestPhase says where a request stands in the books of this entry.
+type RequestPhase int
+
+// Phases of a request.
+const (
+	PhaseQueued    RequestPhase = iota // waits for a slot
+	PhaseForwarded                     // sent to another entry, holds no slot here
+	PhaseRunning                       // holds a slot, this entry has the exchange
+	PhaseCarried                       // holds a slot, an earlier owner has the exchange
+	PhaseLost                          // holds a slot, its exchange broke off
+)
+
+// String returns the name used in queries.
+func (p RequestPhase) String() string {
+	return [...]string{"queued", "forwarded", "running", "carried", "lost"}[p]
+}
+
+// Request is one request/response work item in the books of this entry. No
+// body is kept: traffic goroutines hold it.
+type Request struct {
+	ID         string
+	Plan       string
+	Deadline   time.Time // the caller does not wait longer
+	Repeatable bool      // may be tried again after an unknown outcome
+	Hops       int       // forwards so far
+	Tried      []string  // entries that refused it
+	Arrived    time.Time
+	Phase      RequestPhase
+	Server     string
+	Tranche    string    // tranche of allowances that it counts against
+	Until      time.Time // when a slot held in PhaseCarried or PhaseLost is free again
+	Wait       time.Time // when waiting in the queue ends
+}
+
+// WithPhase returns the request in another phase.
+func (r Request) WithPhase(p RequestPhase) Request {
+	r.Phase = p
+	return r
+}
+
+// WithServer returns the request placed on a server until a time at which its
+// slot counts as free even without an answer.
+func (r Request) WithServer(server string, until time.Time) Request {
+	r.Server = server
+	r.Until = until
+	return r
+}
+
+// WithTranche returns the request counted against a tranche of allowances.
+func (r Request) WithTranche(tranche string) Request {
+	r.Tranche = tranche
+	return r
+}
+
+// WithWait returns the request bounded to wait in the queue until a time.
+func (r Request) WithWait(until time.Time) Request {
+	r.Wait = until
+	return r
+}
+
+// WithTried returns the request after another entry refused it.
+func (r Request) WithTried(entry string) Request {
+	r.Tried = append(r.Tried[:len(r.Tried):len(r.Tried)], entry)
+	return r
+}
--- /dev/null
+++ b/internal/scheduler/state.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// State is the whole control state of one entry. It is immutable: Apply
+// returns a new one that shares structure with the old, so that traffic
+// goroutines and queries read a published State without a lock.
+type State struct {
+	Self     Entry
+	Policy   Policy
+	Started  time.Time
+	Draining bool
+
+	Config     Config
+	ConfigNext int64 // offset after the last one read from the configuration stream
+	ConfigRead bool  // the configuration stream was read to its end once
+	ConfigKept time.Time
+
+	Applied  int64 // offset after the last one read from the zone's stream
+	First    int64 // first offset of the zone's stream that was read without a gap
+	ZoneRead bool  // the zone's stream was read to its end once
+
+	Listed  bool            // the platform's list was read once
+	Entries Table[Instance] // entry instances of the platform's list, all zones
+	Members Table[Member]   // by EntryID
+	Servers Table[Server]   // of this zone
+	Workers Table[Worker]   // of this zone
+
+	Claims Table[Claim]
+	Holds  Table[Hold]
+	Gifts  Table[Gift]
+	Rested Table[time.Time] // tranches that count only after a time
+	Asked  Table[time.Time] // resources for which a claim is being appended
+
+	Requests Table[Request]
+	Queue    Agenda     // by arrival
+	Waits    Agenda     // queued requests by the end of their wait
+	Lapses   Agenda     // carried and lost requests by the end of their slot
+	Used     Table[int] // slots in use by plan
+
+	Items    Table[Item]
+	Pending  Agenda               // by deadline
+	Reserved Table[time.Time]     // items whose start waits for its record
+	Live     Table[bool]          // items that have not ended
+	Planned  Table[Size]          // size in use by plan in this zone, from the log
+	Tasks    Table[Table[string]] // by worker: its unended tasks and their items
+	Leases   Table[Lease]         // of held workers
+
+	Balanced time.Time // when ownership was last looked at
+}
+
+// New returns the state of an entry that starts now.
+func New(self Entry, p Policy, now time.Time) State {
+	return State{Self: self, Policy: p.withDefaults(), Started: now}
+}
+
+// Resource names. A resource is what exactly one entry of a zone owns.
+const (
+	serverPrefix  = "server/"
+	workerPrefix  = "worker/"
+	tranchePrefix = "tranche/"
+)
+
+// ServerResource names the ownership of a backend server.
+func ServerResource(name string) string { return serverPrefix + name }
+
+// WorkerResource names the ownership of a worker.
+func WorkerResource(name string) string { return workerPrefix + name }
+
+// TrancheResource names the ownership of one part of the zone's allowances.
+func TrancheResource(index int) string { return tranchePrefix + strconv.Itoa(index) }
+
+func trancheIndex(resource string) (int, bool) {
+	text, ok := strings.CutPrefix(resource, tranchePrefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil
+}
+
+// Ready reports whether the entry may serve callers: it has a configuration
+// and knows who owns what.
+func (s State) Ready() bool {
+	return s.Configured() && s.ZoneRead && s.Listed && !s.Draining
+}
+
+// Configured reports whether a version of both lists is in force.
+func (s State) Configured() bool {
+	return s.Config.PlansVersion > 0 && s.Config.AllowanceVersion > 0
+}
+
+// Mark returns the operators' mark on an instance.
+func (s State) Mark(instance string) Mark {
+	return s.Config.Marks[instance]
+}
+
+// takesWork reports whether new work may be sent to an instance.
+func (s State) takesWork(i Instance, gone bool) bool {
+	return !gone && !i.Leaving && s.Mark(i.Name) == MarkNone
+}
+
+// HoldsServer reports whether this entry acts as the owner of a server.
+func (s State) HoldsServer(name string) bool {
+	return s.Holds.Has(ServerResource(name))
+}
+
+// FreeSlots returns the number of slots that this entry could give out now.
+func (s State) FreeSlots() int {
+	free := 0
+	for resource := range s.Holds.All() {
+		v, ok := s.heldServer(resource)
+		if ok {
+			free += v.Free()
+		}
+	}
+	return free
+}
+
+// heldServer returns the book of a held server that takes new work.
+func (s State) heldServer(resource string) (Server, bool) {
+	name, ok := strings.CutPrefix(resource, serverPrefix)
+	if !ok {
+		return Server{}, false
+	}
+	v, ok := s.Servers.Get(name)
+	if !ok || !s.takesWork(v.Instance, v.Gone) {
+		return Server{}, false
+	}
+	return v, true
+}
+
+// SlotLimit returns how many slots this entry may use for a plan: the sum of
+// the plan's shares in the tranches that it holds and that have rested.
+func (s State) SlotLimit(plan string, now time.Time) int {
+	a, ok := s.Config.Allowance(plan)
+	if !ok {
+		return 0
+	}
+	zone := s.Policy.zoneShare(int64(a.Slots), s.Self.Zone)
+	limit := int64(0)
+	for i := range s.Policy.Tranches {
+		if s.trancheCounts(TrancheResource(i), now) {
+			limit += share(zone, i, s.Policy.Tranches)
+		}
+	}
+	return int(limit)
+}
+
+func (s State) trancheCounts(resource string, now time.Time) bool {
+	if !s.Holds.Has(resource) {
+		return false
+	}
+	rest, resting := s.Rested.Get(resource)
+	return !resting || !now.Before(rest)
+}
+
+// acked returns the zone offset up to which this entry vouches that it acts
+// by the log. While it holds something on the strength of an older claim, the
+// value stays at that claim, so that nobody relies on it having read a later one.
+func (s State) acked() int64 {
+	acked := s.Applied
+	for _, hold := range s.Holds.All() {
+		if !hold.Recorded {
+			acked = min(acked, hold.Basis+1)
+		}
+	}
+	return acked
+}
+
+// Digest returns what this entry tells its peers.
+func (s State) Digest() Digest {
+	return Digest{
+		Entry:    s.Self,
+		Config:   s.Config.Offset,
+		Acked:    s.acked(),
+		Free:     s.FreeSlots(),
+		Queue:    s.Queue.Len(),
+		Ready:    s.Ready(),
+		Draining: s.Draining,
+	}
+}
+
+// Drained reports whether a draining entry has nothing left to do.
+func (s State) Drained() bool {
+	if !s.Draining || s.Gifts.Len() > 0 {
+		return false
+	}
+	for _, r := range s.Requests.All() {
+		if r.Phase == PhaseQueued || r.Phase == PhaseForwarded || r.Phase == PhaseRunning {
+			return false
+		}
+	}
+	return true
+}
