--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,143 @@
+// Package controller runs the control thread: the one goroutine that owns the
+// control state of an entry. It takes events from any goroutine, applies them
+// with package scheduler, publishes the new state for readers, and hands the
+// effects to a Performer. It decides nothing itself.
+package controller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivelock/endivelock/internal/scheduler"
+)
+
+const (
+	// queueLength is how many events wait before Submit blocks.
+	queueLength = 4096
+	// batchLength is how many events are applied before the state is published.
+	batchLength = 64
+)
+
+// Performer carries out effects. It must not block: the control thread waits
+// for it.
+type Performer interface {
+	Perform(effects []scheduler.Effect)
+}
+
+// Controller owns the control state. Create it with New.
+type Controller struct {
+	performer Performer
+	now       func() time.Time
+	events    chan scheduler.Event
+	state     scheduler.State
+	published atomic.Pointer[scheduler.State]
+	busy      atomic.Int64 // nanoseconds spent in Apply
+	applied   atomic.Int64
+
+	mu      sync.Mutex
+	waiters []chan struct{}
+}
+
+// New returns a controller that starts from a state. The clock now is read
+// once per event.
+func New(initial scheduler.State, p Performer, now func() time.Time) *Controller {
+	c := &Controller{
+		performer: p,
+		now:       now,
+		events:    make(chan scheduler.Event, queueLength),
+		state:     initial,
+	}
+	c.published.Store(&initial)
+	return c
+}
+
+// Submit queues an event for the control thread. It blocks while the queue is
+// full.
+func (c *Controller) Submit(e scheduler.Event) {
+	c.events <- e
+}
+
+// Snapshot returns the last published state.
+func (c *Controller) Snapshot() scheduler.State {
+	return *c.published.Load()
+}
+
+// Cost returns the number of events applied so far and the time spent on them.
+func (c *Controller) Cost() (events int64, spent time.Duration) {
+	return c.applied.Load(), time.Duration(c.busy.Load())
+}
+
+// Await returns the first published state that satisfies a condition.
+func (c *Controller) Await(ctx context.Context, condition func(scheduler.State) bool) (scheduler.State, error) {
+	for {
+		changed := c.subscribe()
+		s := c.Snapshot()
+		if condition(s) {
+			return s, nil
+		}
+		select {
+		case <-ctx.Done():
+			return s, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (c *Controller) subscribe() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := make(chan struct{})
+	c.waiters = append(c.waiters, changed)
+	return changed
+}
+
+// Serve applies events until the context ends.
+func (c *Controller) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-c.events:
+			c.batch(e)
+		}
+	}
+}
+
+// batch applies an event and those that wait behind it, publishes the result
+// and hands on the effects.
+func (c *Controller) batch(first scheduler.Event) {
+	effects := c.apply(first, nil)
+	for range batchLength {
+		select {
+		case e := <-c.events:
+			effects = c.apply(e, effects)
+			continue
+		default:
+		}
+		break
+	}
+	c.publish()
+	c.performer.Perform(effects)
+}
+
+func (c *Controller) apply(e scheduler.Event, effects []scheduler.Effect) []scheduler.Effect {
+	now := c.now()
+	s, more := c.state.Apply(e, now)
+	c.state = s
+	c.busy.Add(int64(c.now().Sub(now)))
+	c.applied.Add(1)
+	return append(effects, more...)
+}
+
+func (c *Controller) publish() {
+	s := c.state
+	c.published.Store(&s)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, changed := range c.waiters {
+		close(changed)
+	}
+	c.waiters = nil
+}
