Fuzz the core against an oracle; mend the four faults it found

Cause: the counts that must stay 0 need more than a run of real processes. Change: a small fake world (log, peers, servers, workers, clock) drives three cores under kills, pauses, restarts, drains, outages, lost and reordered messages; an oracle checks slots, owners, runs, refusals, configuration, the allowance and that readers of one ledger agree. Conclusion: the invariants hold on the thin path as far as the world goes; it has no clock drift and no trimming of the log yet.

--- a/internal/queries/lister/lister.go
+++ b/internal/queries/lister/lister.go
@@ -97,7 +97,7 @@
 	s := l.Viewer.Snapshot()
 	servers := []messenger.ServerStatus{}
 	for name, v := range s.Servers.All() {
-		c, _ := s.Claims.Get(scheduler.ServerResource(name))
+		c, _ := s.Claim(scheduler.ServerResource(name))
 		servers = append(servers, messenger.ServerStatus{
 			Name: name, Kind: string(scheduler.KindServer), Owner: ownerOf(c), Epoch: c.Epoch,
 			State: stateOf(s, v.Instance, v.Gone), Slots: v.Instance.Slots, Busy: v.Busy, Lost: v.Lost,
@@ -111,7 +111,7 @@
 	s := l.Viewer.Snapshot()
 	workers := []messenger.ServerStatus{}
 	for name, v := range s.Workers.All() {
-		c, _ := s.Claims.Get(scheduler.WorkerResource(name))
+		c, _ := s.Claim(scheduler.WorkerResource(name))
 		workers = append(workers, messenger.ServerStatus{
 			Name: name, Kind: string(scheduler.KindWorker), Owner: ownerOf(c), Epoch: c.Epoch,
 			State: stateOf(s, v.Instance, v.Gone), CPU: v.Instance.Size.CPU, Used: v.Used.CPU,
--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -28,11 +28,12 @@
 	ItemDone      ItemPhase = "done"      // every member ended well
 	ItemFailed    ItemPhase = "failed"    // a member reported failure
 	ItemCancelled ItemPhase = "cancelled" // by its submitter
+	ItemUnknown   ItemPhase = "unknown"   // may have run and must not be repeated
 )
 
 // Ended reports whether the phase is final.
 func (p ItemPhase) Ended() bool {
-	return p == ItemDone || p == ItemFailed || p == ItemCancelled
+	return p == ItemDone || p == ItemFailed || p == ItemCancelled || p == ItemUnknown
 }
 
 // Work is what a submitter asks for. Members is the number of tasks, each of
@@ -46,6 +47,7 @@
 	Size     Size          `json:"size"`
 	Run      time.Duration `json:"run"`      // declared run time, nanoseconds, 0 for a service
 	Deadline time.Time     `json:"deadline"` // zero for none
+	Once     bool          `json:"once"`     // must not be started again after it may have run
 }
 
 // Total returns the size of all members together.
@@ -62,6 +64,7 @@
 	Worker string    `json:"worker"`
 	Task   string    `json:"task"`            // unique per member and attempt
 	Ended  bool      `json:"ended,omitempty"` // proven by a ledger record not to run any more
+	Told   End       `json:"-"`               // end that its worker reported to this entry
 	Lapse  time.Time `json:"-"`               // when the last lease that may be in force ends
 }
 
@@ -76,6 +79,7 @@
 	Placed   []Placement
 	Reserved bool      // this entry has reserved Placed and waits for its record
 	Why      string    // reason of the state
+	Due      time.Time // place in the queue while pending
 	Kept     time.Time // when the log last told of the item
 	Taken    time.Time // when the item last became pending, as this entry saw it
 }
--- a/internal/scheduler/items.go
+++ b/internal/scheduler/items.go
@@ -15,11 +15,19 @@
 	farDeadline = 365 * 24 * time.Hour
 )
 
-func due(i Item) time.Time {
-	if i.Work.Deadline.IsZero() {
-		return i.Taken.Add(farDeadline)
+// pend queues a pending item and stores it.
+func (t *step) pend(i Item) {
+	i.Due = i.Work.Deadline
+	if i.Due.IsZero() {
+		i.Due = i.Taken.Add(farDeadline)
 	}
-	return i.Work.Deadline
+	t.s.Pending = t.s.Pending.With(i.Due, i.Work.ID)
+	t.putItem(i)
+}
+
+// unpend takes an item out of the queue.
+func (t *step) unpend(i Item) {
+	t.s.Pending = t.s.Pending.Without(i.Due, i.Work.ID)
 }
 
 // Feasible reports why work can never run in this zone, or an empty string.
@@ -58,8 +66,7 @@
 		return
 	}
 	i := Item{Work: r.Work, Epoch: offset, Kept: t.now}.WithPending(t.now)
-	t.putItem(i)
-	t.s.Pending = t.s.Pending.With(due(i), r.Work.ID)
+	t.pend(i)
 }
 
 func (t *step) putItem(i Item) {
@@ -119,7 +126,7 @@
 	}
 	i = i.WithReserved(placed)
 	i.Taken = t.now
-	t.s.Pending = t.s.Pending.Without(due(i), i.Work.ID)
+	t.unpend(i)
 	t.s.Reserved = t.s.Reserved.With(i.Work.ID, t.now)
 	t.putItem(i)
 	t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: []Record{StartRecord{
@@ -196,7 +203,7 @@
 		t.unreserve(i)
 		i, _ = t.s.Items.Get(r.Item)
 	}
-	t.s.Pending = t.s.Pending.Without(due(i), r.Item)
+	t.unpend(i)
 	i = i.WithStart(r.Placed, offset)
 	t.s.Planned = t.s.Planned.With(i.Work.Plan, used.Plus(i.Work.Total()))
 	for index, p := range i.Placed {
@@ -228,7 +235,7 @@
 func (t *step) abandon(i Item) {
 	var records []Record
 	for _, p := range i.Placed {
-		records = append(records, FinishRecord{Item: i.Work.ID, Task: p.Task, End: EndHalted, Why: "no room at the start"})
+		records = append(records, FinishRecord{Item: i.Work.ID, Task: p.Task, End: EndUnused, Why: "no room at the start"})
 	}
 	t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
 }
@@ -251,9 +258,7 @@
 		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(Size{}.Minus(i.Work.Size)) })
 	}
 	t.s.Reserved = t.s.Reserved.Without(i.Work.ID)
-	i = i.WithPending(i.Taken)
-	t.putItem(i)
-	t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
+	t.pend(i.WithPending(i.Taken))
 }
 
 func (t *step) launch(i Item) {
@@ -295,30 +300,38 @@
 		switch r.End {
 		case EndFailed:
 			i = i.WithStopping(ItemFailed, r.Why)
-		case EndLost, EndHalted:
+		case EndUnused:
 			i = i.WithStopping(ItemPending, r.Why)
+		case EndLost, EndHalted:
+			i = i.WithStopping(afterLoss(i.Work), r.Why)
 		}
 	}
-	t.putItem(t.afterEnd(i))
+	t.afterEnd(i)
 	t.haltRest(i)
 }
 
-// afterEnd moves an item on once none of its tasks may still run.
-func (t *step) afterEnd(i Item) Item {
-	if !i.AllEnded() {
-		return i
+// afterLoss returns what follows for work of which a task may have run in part.
+func afterLoss(w Work) ItemPhase {
+	if w.Once {
+		return ItemUnknown
 	}
+	return ItemPending
+}
+
+// afterEnd moves an item on once none of its tasks may still run.
+func (t *step) afterEnd(i Item) {
 	switch {
+	case !i.AllEnded():
+		t.putItem(i)
 	case i.Phase == ItemRunning:
-		return i.WithPhase(ItemDone)
+		t.putItem(i.WithPhase(ItemDone))
 	case i.Phase == ItemStopping && i.Then == ItemPending:
-		i = i.WithPending(t.now)
-		t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
-		return i
+		t.pend(i.WithPending(t.now))
 	case i.Phase == ItemStopping:
-		return i.WithPhase(i.Then)
+		t.putItem(i.WithPhase(i.Then))
+	default:
+		t.putItem(i)
 	}
-	return i
 }
 
 // haltRest ends the tasks of an item that must not go on.
@@ -344,7 +357,7 @@
 		i, _ = t.s.Items.Get(r.Item)
 	}
 	if i.Phase == ItemPending {
-		t.s.Pending = t.s.Pending.Without(due(i), r.Item)
+		t.unpend(i)
 		t.putItem(i.WithPhase(ItemCancelled))
 		return
 	}
@@ -364,9 +377,7 @@
 	}
 	i.Kept = t.now
 	if i.Phase == ItemPending {
-		i = i.WithPending(t.now)
-		t.s.Pending = t.s.Pending.With(due(i), i.Work.ID)
-		t.putItem(i)
+		t.pend(i.WithPending(t.now))
 		return
 	}
 	used, _ := t.s.Planned.Get(i.Work.Plan)
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -46,6 +46,7 @@
 	for _, end := range e.Ended {
 		item, ok := tasks.Get(end.Task)
 		if ok {
+			t.setTold(item, end)
 			records = append(records, FinishRecord{Item: item, Task: end.Task, End: end.End, Why: end.Why})
 		}
 	}
@@ -54,6 +55,19 @@
 	}
 }
 
+// setTold keeps what a worker said of a task, so that it is not declared lost
+// while the log is slow to take the record.
+func (t *step) setTold(item string, end TaskEnd) {
+	i, _ := t.s.Items.Get(item)
+	index := i.index(end.Task)
+	if index < 0 {
+		return
+	}
+	p := i.Placed[index]
+	p.Told = end.End
+	t.putItem(i.WithPlacement(index, p))
+}
+
 // renewRunning extends the leases of the tasks that the worker runs and that
 // are to go on, and halts the others.
 func (t *step) renewRunning(e WorkerReported) {
@@ -122,7 +136,7 @@
 	for task, item := range tasks.All() {
 		i, _ := t.s.Items.Get(item)
 		index := i.index(task)
-		if index < 0 || i.Placed[index].Lapse.IsZero() {
+		if index < 0 || i.Placed[index].Told != "" {
 			continue
 		}
 		lapse := i.Placed[index].Lapse
--- /dev/null
+++ b/internal/scheduler/oracle_test.go
@@ -0,0 +1,128 @@
+package scheduler_test
+
+import (
+	"fmt"
+
+	"github.com/endivelock/endivelock/internal/scheduler"
+)
+
+// oracle knows what must always hold and nothing of how it is brought about.
+type oracle struct {
+	faults    []string
+	runs      map[string]int
+	told      map[string]bool // requests whose caller was told that they did not run
+	running   map[string]int
+	endedWell map[string]int
+	starts    map[string]int
+	configs   map[int64]string // by offset, the configuration that entries had in force
+	submitted []string
+}
+
+func newOracle() *oracle {
+	return &oracle{
+		runs: map[string]int{}, told: map[string]bool{}, running: map[string]int{},
+		endedWell: map[string]int{}, starts: map[string]int{}, configs: map[int64]string{},
+	}
+}
+
+func (o *oracle) fault(format string, values ...any) {
+	o.faults = append(o.faults, fmt.Sprintf(format, values...))
+}
+
+// ran checks a request that begins at a server.
+func (o *oracle) ran(request, server string, busy int) {
+	o.runs[request]++
+	if o.runs[request] > 1 {
+		o.fault("request %s ran %d times", request, o.runs[request])
+	}
+	if o.told[request] {
+		o.fault("request %s ran after its caller was told that it was not run", request)
+	}
+	if busy > worldSlots {
+		o.fault("server %s has %d requests in %d slots", server, busy, worldSlots)
+	}
+}
+
+// allowed checks the requests in progress of the one plan against the largest
+// allowance that it ever has.
+func (o *oracle) allowed(inProgress int) {
+	if inProgress > worldAllowance {
+		o.fault("plan p has %d requests in progress and is allowed %d", inProgress, worldAllowance)
+	}
+}
+
+func (o *oracle) refused(request string) {
+	o.told[request] = true
+	if o.runs[request] > 0 {
+		o.fault("caller of request %s was told that it was not run, and it was", request)
+	}
+}
+
+// began checks a task that begins on a worker.
+func (o *oracle) began(member string, once bool, used int64) {
+	o.running[member]++
+	if o.running[member] > 1 {
+		o.fault("task %s runs in two places", member)
+	}
+	o.starts[member]++
+	if once && o.starts[member] > 1 {
+		o.fault("task %s must not be repeated and was started %d times", member, o.starts[member])
+	}
+	if used > 2 {
+		o.fault("a worker of size 2 was given %d", used)
+	}
+}
+
+func (o *oracle) ended(member string, end scheduler.End) {
+	o.running[member]--
+	if end == scheduler.EndWell {
+		o.endedWell[member]++
+	}
+}
+
+// changed checks one step of one entry's configuration.
+func (o *oracle) changed(before, after scheduler.State) {
+	if after.Config.Offset < before.Config.Offset {
+		o.fault("entry %v went back from configuration %d to %d", after.Self.ID, before.Config.Offset, after.Config.Offset)
+	}
+	if after.Config.Offset == before.Config.Offset {
+		return
+	}
+	text := fmt.Sprint(after.Config.Plans, after.Config.Allowances, after.Config.Marks)
+	known, ok := o.configs[after.Config.Offset]
+	if ok && known != text {
+		o.fault("entries have two configurations at offset %d: %s and %s", after.Config.Offset, known, text)
+	}
+	o.configs[after.Config.Offset] = text
+}
+
+// owners checks that no resource has two acting owners.
+func (o *oracle) owners(nodes map[string]*node) {
+	holders := map[string]scheduler.EntryID{}
+	for _, n := range nodes {
+		if !n.alive {
+			continue
+		}
+		for resource := range n.state.Holds.All() {
+			if other, ok := holders[resource]; ok {
+				o.fault("%s has two owners, %v and %v", resource, other, n.state.Self.ID)
+			}
+			holders[resource] = n.state.Self.ID
+		}
+	}
+}
+
+// ledgers checks that entries that have read as far agree on every item.
+func (o *oracle) ledgers(nodes map[string]*node) {
+	known := map[string]string{}
+	for _, n := range nodes {
+		for id, i := range n.state.Items.All() {
+			key := fmt.Sprint(n.state.Applied, id)
+			text := fmt.Sprint(i.Phase, i.Attempt)
+			if other, ok := known[key]; ok && other != text {
+				o.fault("item %s at offset %d is %s and %s", id, n.state.Applied, other, text)
+			}
+			known[key] = text
+		}
+	}
+}
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -33,14 +33,14 @@
 }
 
 func (e GiftReceived) apply(t *step) {
-	known, ok := t.s.Claims.Get(e.Resource)
+	known, ok := t.s.Claim(e.Resource)
 	if ok && !e.Claim.Newer(known) {
 		return
 	}
 	if e.Claim.Owner != t.s.Self.ID {
 		return
 	}
-	t.setClaim(e.Resource, e.Claim)
+	t.hand(e.Resource, e.Claim)
 	if e.Broken {
 		t.inherit(e.Resource, e.Claim)
 	} else {
@@ -64,10 +64,14 @@
 	}
 }
 
-// setClaim stores a claim and notes the entries that it names.
-func (t *step) setClaim(resource string, c Claim) {
-	c.Read = t.now
-	t.s.Claims = t.s.Claims.With(resource, c)
+// hand stores a claim that was passed on directly.
+func (t *step) hand(resource string, c Claim) {
+	t.s.Hands = t.s.Hands.With(resource, c)
+	t.noteAll(c)
+}
+
+// noteAll notes the entries that a claim names.
+func (t *step) noteAll(c Claim) {
 	t.note(c.Owner)
 	for _, id := range c.Line {
 		t.note(id)
@@ -149,10 +153,15 @@
 		return
 	}
 	for _, r := range t.s.Requests.All() {
-		if r.Server == name && (r.Phase == PhaseCarried || r.Phase == PhaseLost) {
-			t.s.Requests = t.s.Requests.Without(r.ID)
-			t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
+		if r.Server != name || (r.Phase != PhaseCarried && r.Phase != PhaseLost) {
+			continue
 		}
+		if r.Plan != "" {
+			t.s.Requests = t.s.Requests.With(r.ID, r.WithPhase(PhaseOwed))
+			continue
+		}
+		t.s.Requests = t.s.Requests.Without(r.ID)
+		t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
 	}
 	t.changeServer(name, func(v Server) Server {
 		v.Busy, v.Lost = 0, 0
@@ -233,7 +242,7 @@
 }
 
 func (t *step) claim(resource string, candidates []EntryID) {
-	c, known := t.s.Claims.Get(resource)
+	c, known := t.s.Claim(resource)
 	hold, holding := t.s.Holds.Get(resource)
 	switch {
 	case holding:
@@ -271,7 +280,7 @@
 
 // record writes the ownership of a held resource to the log.
 func (t *step) record(resource string) {
-	c, _ := t.s.Claims.Get(resource)
+	c, _ := t.s.Claim(resource)
 	t.appendClaim(resource, ClaimRecord{
 		Resource: resource,
 		Owner:    t.s.Self.ID,
@@ -341,11 +350,11 @@
 // give hands a held resource to an entry. From here on this entry has no right
 // to it, whether or not the message arrives.
 func (t *step) give(resource string, to EntryID) {
-	c, _ := t.s.Claims.Get(resource)
+	c, _ := t.s.Claim(resource)
 	running := t.carriedOn(resource)
 	t.lose(resource)
 	c = c.WithHeir(to)
-	t.s.Claims = t.s.Claims.With(resource, c)
+	t.hand(resource, c)
 	g := Gift{To: to, Claim: c, Running: running, Sent: t.now}
 	t.s.Gifts = t.s.Gifts.With(resource, g)
 	t.send(resource, g)
@@ -405,7 +414,7 @@
 		return
 	}
 	g = Gift{To: to, Claim: g.Claim.WithHeir(to), Sent: t.now, Broken: true}
-	t.s.Claims = t.s.Claims.With(resource, g.Claim)
+	t.hand(resource, g.Claim)
 	t.s.Gifts = t.s.Gifts.With(resource, g)
 	t.send(resource, g)
 }
@@ -416,7 +425,7 @@
 		return
 	}
 	for resource := range t.s.Holds.All() {
-		c, _ := t.s.Claims.Get(resource)
+		c, _ := t.s.Claim(resource)
 		to, ok := t.next(c)
 		if !ok || !t.releasable(resource) {
 			continue
@@ -477,7 +486,7 @@
 
 // move gives a resource to an entry, first putting it at the head of the line.
 func (t *step) move(resource string, to EntryID) {
-	c, _ := t.s.Claims.Get(resource)
+	c, _ := t.s.Claim(resource)
 	if next, ok := t.next(c); ok && next == to {
 		if t.releasable(resource) {
 			t.give(resource, to)
@@ -513,7 +522,12 @@
 	if !known && r.Basis != 0 && !trimmed {
 		return
 	}
-	t.setClaim(r.Resource, Claim{Owner: r.Owner, Epoch: offset, Line: r.Line, Over: r.Over})
+	accepted := Claim{Owner: r.Owner, Epoch: offset, Line: r.Line, Over: r.Over, Read: t.now}
+	t.s.Claims = t.s.Claims.With(r.Resource, accepted)
+	t.noteAll(accepted)
+	if handed, ok := t.s.Hands.Get(r.Resource); ok && accepted.Newer(handed) {
+		t.s.Hands = t.s.Hands.Without(r.Resource)
+	}
 	hold, holding := t.s.Holds.Get(r.Resource)
 	switch {
 	case r.Owner == t.s.Self.ID && holding:
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -68,7 +68,8 @@
 	EndWell   End = "well"   // it reported success
 	EndFailed End = "failed" // it reported failure
 	EndLost   End = "lost"   // its lease lapsed without a report
-	EndHalted End = "halted" // it was ended on request
+	EndHalted End = "halted" // it was ended on request or at the end of its lease
+	EndUnused End = "unused" // it was never started
 )
 
 // FinishRecord ends one task of an item.
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -12,11 +12,12 @@
 	PhaseRunning                       // holds a slot, this entry has the exchange
 	PhaseCarried                       // holds a slot, an earlier owner has the exchange
 	PhaseLost                          // holds a slot, its exchange broke off
+	PhaseOwed                          // counts against its plan, the slot is another entry's matter
 )
 
 // String returns the name used in queries.
 func (p RequestPhase) String() string {
-	return [...]string{"queued", "forwarded", "running", "carried", "lost"}[p]
+	return [...]string{"queued", "forwarded", "running", "carried", "lost", "owed"}[p]
 }
 
 // Request is one request/response work item in the books of this entry. No
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -53,7 +53,6 @@
 	if !ok || r.Phase != PhaseRunning {
 		return
 	}
-	t.dropUse(r)
 	switch e.End {
 	case ExchangeWhole:
 		t.noteReachable(r.Server)
@@ -118,7 +117,9 @@
 }
 
 // ServerPolled tells how many slots a server says are busy. Lost repeats the
-// requests named in the Poll: of these at most Busy can still be running.
+// requests named in the Poll, those that lapse first in front: of these at most
+// Busy can still be running. Which ones is not known, so the ones that lapse
+// last are kept.
 type ServerPolled struct {
 	Server string
 	Busy   int
@@ -126,7 +127,7 @@
 }
 
 func (e ServerPolled) apply(t *step) {
-	for _, id := range e.Lost[min(e.Busy, len(e.Lost)):] {
+	for _, id := range e.Lost[:max(0, len(e.Lost)-e.Busy)] {
 		r, ok := t.s.Requests.Get(id)
 		if ok && r.Phase == PhaseLost && r.Server == e.Server {
 			t.freeSlot(r)
@@ -332,6 +333,7 @@
 
 // endSlot ends a running request whose slot is free again.
 func (t *step) endSlot(r Request) {
+	t.dropUse(r)
 	t.s.Requests = t.s.Requests.Without(r.ID)
 	if t.s.HoldsServer(r.Server) {
 		t.changeServer(r.Server, func(v Server) Server { return v.WithBusy(-1) })
@@ -342,7 +344,7 @@
 
 // tellOwner tells the entry that now owns the server that a carried slot is free.
 func (t *step) tellOwner(r Request) {
-	c, ok := t.s.Claims.Get(ServerResource(r.Server))
+	c, ok := t.s.Claim(ServerResource(r.Server))
 	if !ok {
 		return
 	}
@@ -354,11 +356,11 @@
 // loseSlot keeps the slot of a broken exchange in use: the server may still
 // work on the request until its time is over.
 func (t *step) loseSlot(r Request) {
+	r.Until = t.now.Add(t.s.Policy.RequestLimit)
 	if !t.s.HoldsServer(r.Server) {
-		t.s.Requests = t.s.Requests.Without(r.ID)
+		t.hold(r.WithPhase(PhaseOwed))
 		return
 	}
-	r.Until = t.now.Add(t.s.Policy.RequestLimit)
 	t.hold(r.WithPhase(PhaseLost))
 	t.changeServer(r.Server, func(v Server) Server { return v.WithLost(1) })
 }
@@ -369,10 +371,16 @@
 	t.s.Lapses = t.s.Lapses.With(r.Until, r.ID)
 }
 
-// freeSlot ends a carried or lost request.
+// freeSlot ends a carried, lost or owed request.
 func (t *step) freeSlot(r Request) {
 	t.s.Requests = t.s.Requests.Without(r.ID)
 	t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
+	if r.Plan != "" {
+		t.dropUse(r)
+	}
+	if r.Phase == PhaseOwed {
+		return
+	}
 	t.changeServer(r.Server, func(v Server) Server {
 		if r.Phase == PhaseLost {
 			v = v.WithLost(-1)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -30,7 +30,8 @@
 	Servers Table[Server]   // of this zone
 	Workers Table[Worker]   // of this zone
 
-	Claims Table[Claim]
+	Claims Table[Claim] // as the log has them, the same at every reader
+	Hands  Table[Claim] // handed over directly, as far as this entry took part
 	Holds  Table[Hold]
 	Gifts  Table[Gift]
 	Rested Table[time.Time] // tranches that count only after a time
@@ -109,6 +110,16 @@
 	return s.Holds.Has(ServerResource(name))
 }
 
+// Claim returns the ownership of a resource as this entry knows it: the log's
+// record, or a direct handover since.
+func (s State) Claim(resource string) (Claim, bool) {
+	c, ok := s.Claims.Get(resource)
+	if handed, passed := s.Hands.Get(resource); passed && (!ok || handed.Newer(c)) {
+		return handed, true
+	}
+	return c, ok
+}
+
 // FreeSlots returns the number of slots that this entry could give out now.
 func (s State) FreeSlots() int {
 	free := 0
