--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -31,6 +31,8 @@
 
 // Log adds a batch to a stream.
 type Log interface {
+	// Append adds a batch and returns its offset. An error leaves open whether
+	// the batch is in the log.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 }
 
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -17,6 +17,7 @@
 
 	"github.com/endivelock/endivelock/internal/appender"
 	"github.com/endivelock/endivelock/internal/commands/admitter"
+	"github.com/endivelock/endivelock/internal/commands/committer"
 	"github.com/endivelock/endivelock/internal/commands/dispatcher"
 	"github.com/endivelock/endivelock/internal/commands/editor"
 	"github.com/endivelock/endivelock/internal/commands/performer"
@@ -98,8 +99,9 @@
 	e.admitter = admitter.New(e.controller, e.dispatcher, desk, e.logger)
 	e.forwards = admitter.New(e.controller, e.dispatcher, desk, e.logger)
 	e.forwards.Trusted = true
-	e.editor = &editor.Editor{Ledger: e.appender, Controller: e.controller, Logger: e.logger}
-	e.submitter = &submitter.Submitter{Ledger: e.appender, Controller: e.controller, Logger: e.logger}
+	commit := committer.Committer{Ledger: e.appender, Controller: e.controller}
+	e.editor = &editor.Editor{Committer: commit, Logger: e.logger}
+	e.submitter = &submitter.Submitter{Committer: commit, Logger: e.logger}
 	for _, stream := range []string{scheduler.ConfigStream, scheduler.ZoneStream(self.Zone)} {
 		e.followers = append(e.followers, &follower.Follower{
 			Stream: stream, Reader: e.platform, Sink: e.controller, Log: e.logger,
--- a/internal/commands/admitter/admitter.go
+++ b/internal/commands/admitter/admitter.go
@@ -40,17 +40,22 @@
 
 // Controller decides.
 type Controller interface {
+	// Submit takes an event; it may block for a short while.
 	Submit(e scheduler.Event)
+	// Snapshot returns the last published state.
 	Snapshot() scheduler.State
 }
 
 // Exchanger sends one request to an address.
 type Exchanger interface {
+	// RoundTrip sends a request once and returns the head of the answer. An
+	// error that is not a *dispatcher.Fault counts as one after the sending.
 	RoundTrip(request *http.Request) (*http.Response, error)
 }
 
 // Observer learns how requests fared against the service-level objective.
 type Observer interface {
+	// Observe counts one request; good tells that it was placed.
 	Observe(waited time.Duration, good bool)
 }
 
--- /dev/null
+++ b/internal/commands/admitter/admitter_test.go
@@ -0,0 +1,230 @@
+package admitter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/commands/admitter"
+	"github.com/endivelock/endivelock/internal/commands/dispatcher"
+	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/pkg/messenger"
+)
+
+// desk decides every request alike and keeps the other events.
+type desk struct {
+	admitter.Desk
+	decide func(id string) scheduler.Effect
+	events chan scheduler.Event
+}
+
+func (d *desk) Submit(e scheduler.Event) {
+	arrived, ok := e.(scheduler.RequestArrived)
+	if ok {
+		d.Decide(arrived.Request.ID, d.decide(arrived.Request.ID))
+		return
+	}
+	d.events <- e
+}
+
+func (d *desk) Snapshot() scheduler.State { return scheduler.State{} }
+
+// ended returns how the exchange ended for the books.
+func (d *desk) ended(t *testing.T) scheduler.EndKind {
+	t.Helper()
+	select {
+	case e := <-d.events:
+		return e.(scheduler.RequestEnded).End
+	case <-time.After(10 * time.Second):
+		t.Fatal("the exchange did not end")
+		return 0
+	}
+}
+
+// path is an entry in front of a backend server.
+type path struct {
+	desk  *desk
+	entry *httptest.Server
+}
+
+func newPath(t *testing.T, backend http.HandlerFunc) *path {
+	t.Helper()
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	d := &desk{events: make(chan scheduler.Event, 16), decide: func(id string) scheduler.Effect {
+		return scheduler.Place{Request: id, Server: "s", Address: server.Listener.Addr().String(), Until: time.Now().Add(time.Minute)}
+	}}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	entry := httptest.NewServer(admitter.New(d, dispatcher.New(), &d.Desk, logger))
+	t.Cleanup(entry.Close)
+	return &path{desk: d, entry: entry}
+}
+
+func (p *path) request(t *testing.T, method, body string, header ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, p.entry.URL+"/a%2Fb?q=1", strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set(messenger.HeaderPlan, "p")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func problemOf(t *testing.T, response *http.Response) messenger.Problem {
+	t.Helper()
+	var p messenger.Problem
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&p))
+	assert.NilError(t, response.Body.Close())
+	return p
+}
+
+func TestWholeAnswerPasses(t *testing.T) {
+	p := newPath(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Path", r.URL.EscapedPath()+"?"+r.URL.RawQuery)
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write(body)
+	})
+	for _, size := range []int{0, 1, 100_000, 3_000_000} {
+		response, err := http.DefaultClient.Do(p.request(t, http.MethodPost, strings.Repeat("x", size)))
+		assert.NilError(t, err)
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(text), size)
+		assert.Equal(t, response.StatusCode, http.StatusTeapot)
+		assert.Equal(t, response.Header.Get("X-Path"), "/a%2Fb?q=1")
+		assert.Equal(t, response.Header.Get(messenger.HeaderOutcome), "ran")
+		assert.Equal(t, p.desk.ended(t), scheduler.ExchangeWhole)
+	}
+}
+
+func TestTruncatedAnswerIsNotPassedAsWhole(t *testing.T) {
+	p := newPath(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("only this"))
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, ""))
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, p.desk.ended(t), scheduler.ExchangeBroken)
+}
+
+func TestStreamIsPassedOnPieceByPiece(t *testing.T) {
+	next := make(chan struct{})
+	p := newPath(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 3 {
+			_, _ = fmt.Fprintf(w, "%d", i)
+			w.(http.Flusher).Flush()
+			<-next
+		}
+	})
+	response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, ""))
+	assert.NilError(t, err)
+	for i := range 3 {
+		piece := make([]byte, 1)
+		_, err := io.ReadFull(response.Body, piece)
+		assert.NilError(t, err)
+		assert.Equal(t, string(piece), fmt.Sprint(i))
+		next <- struct{}{}
+	}
+}
+
+// A caller that leaves does not free the slot: the server is still at work.
+func TestSlotIsHeldUntilTheServerHasFinished(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	p := newPath(t, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-finish
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	r := p.request(t, http.MethodGet, "").WithContext(ctx)
+	context.AfterFunc(ctx, func() { close(left) })
+	time.AfterFunc(0, func() {
+		<-begun
+		leave()
+	})
+	_, err := http.DefaultClient.Do(r)
+	assert.ErrorIs(t, err, context.Canceled)
+	<-left
+	select {
+	case e := <-p.desk.events:
+		t.Fatalf("the slot was freed early by %v", e)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(finish)
+	assert.Equal(t, p.desk.ended(t), scheduler.ExchangeWhole)
+}
+
+func TestLateAnswerIsUnknown(t *testing.T) {
+	finish := make(chan struct{})
+	p := newPath(t, func(http.ResponseWriter, *http.Request) { <-finish })
+	response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, "", "Prefer", "wait=0.05"))
+	assert.NilError(t, err)
+	problem := problemOf(t, response)
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Equal(t, problem.Outcome, "unknown")
+	close(finish)
+	assert.Equal(t, p.desk.ended(t), scheduler.ExchangeWhole)
+}
+
+func TestBadHeads(t *testing.T) {
+	p := newPath(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was reached") })
+	cases := []struct {
+		name   string
+		header []string
+		status int
+		reason string
+	}{
+		{"no plan", []string{messenger.HeaderPlan, ""}, 400, "header-missing"},
+		{"upgrade", []string{"Upgrade", "websocket", "Connection", "Upgrade"}, 501, "upgrade-unsupported"},
+		{"wait is no number", []string{"Prefer", "wait=soon"}, 400, "header-invalid"},
+		{"wait is negative", []string{"Prefer", "wait=-1"}, 400, "header-invalid"},
+		{"wait is endless", []string{"Prefer", "wait=1e9"}, 400, "header-invalid"},
+	}
+	for _, c := range cases {
+		response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, "", c.header...))
+		assert.NilError(t, err)
+		problem := problemOf(t, response)
+		assert.Equal(t, response.StatusCode, c.status, c.name)
+		assert.Equal(t, problem.Reason, c.reason, c.name)
+		assert.Equal(t, problem.Outcome, "not-run", c.name)
+		assert.Equal(t, response.Header.Get("Content-Type"), messenger.ProblemType, c.name)
+	}
+}
+
+func TestRefusalSaysNotRunAndWhenToTryAgain(t *testing.T) {
+	p := newPath(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was reached") })
+	cases := map[scheduler.Reason]int{
+		scheduler.ReasonAllowance: http.StatusTooManyRequests,
+		scheduler.ReasonNoPlan:    http.StatusForbidden,
+		scheduler.ReasonWaited:    http.StatusServiceUnavailable,
+		scheduler.ReasonDeadline:  http.StatusGatewayTimeout,
+	}
+	for reason, status := range cases {
+		p.desk.decide = func(id string) scheduler.Effect {
+			return scheduler.Refuse{Request: id, Reason: reason, After: 1500 * time.Millisecond}
+		}
+		response, err := http.DefaultClient.Do(p.request(t, http.MethodPost, "body"))
+		assert.NilError(t, err)
+		problem := problemOf(t, response)
+		assert.Equal(t, response.StatusCode, status, string(reason))
+		assert.Equal(t, problem.Outcome, "not-run", string(reason))
+		assert.Equal(t, response.Header.Get("Retry-After"), "2", string(reason))
+	}
+}
--- a/internal/commands/editor/editor.go
+++ b/internal/commands/editor/editor.go
@@ -4,43 +4,26 @@
 package editor
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/endivelock/endivelock/internal/commands/committer"
 	"github.com/endivelock/endivelock/internal/commands/responder"
 	"github.com/endivelock/endivelock/internal/scheduler"
 )
 
-const (
-	// readBackTimeout bounds the wait for a record to be read back.
-	readBackTimeout = 8 * time.Second
-	// maxBody bounds the bytes of a list.
-	maxBody = 2 << 20
-)
-
-// Ledger queues records for the log.
-type Ledger interface {
-	Append(request scheduler.Append) error
-}
-
-// Controller tells when the state shows a change.
-type Controller interface {
-	Snapshot() scheduler.State
-	Await(ctx context.Context, condition func(scheduler.State) bool) (scheduler.State, error)
-}
+// maxBody bounds the bytes of a list.
+const maxBody = 2 << 20
 
 // Editor handles changes of configuration.
 type Editor struct {
-	Ledger     Ledger
-	Controller Controller
-	Logger     logrus.FieldLogger
+	Committer committer.Committer
+	Logger    logrus.FieldLogger
 }
 
 // Routes registers the handlers.
@@ -119,24 +102,14 @@
 	return uuid.NewString()
 }
 
-// commit appends a record and waits until reading the log has decided it.
+// commit appends a record and reports what reading the log has decided.
 func (e *Editor) commit(w http.ResponseWriter, r *http.Request, nonce string, record scheduler.Record) {
-	if _, decided := e.Controller.Snapshot().Config.Edit(nonce); !decided {
-		request := scheduler.Append{Stream: scheduler.ConfigStream, Records: []scheduler.Record{record}}
-		if err := e.Ledger.Append(request); err != nil {
-			responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, "ledger-unavailable", err.Error())
-			return
-		}
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), readBackTimeout)
-	defer cancel()
-	s, err := e.Controller.Await(ctx, func(s scheduler.State) bool {
+	s, err := e.Committer.Commit(r.Context(), scheduler.ConfigStream, record, func(s scheduler.State) bool {
 		_, decided := s.Config.Edit(nonce)
 		return decided
 	})
 	if err != nil {
-		responder.Fail(w, http.StatusGatewayTimeout, scheduler.Unknown, "ledger-timeout",
-			"the log has not shown the change yet; repeat it with Idempotency-Key "+nonce)
+		responder.Uncommitted(w, err, "repeat it with Idempotency-Key "+nonce)
 		return
 	}
 	e.report(w, r, s, nonce)
--- a/internal/commands/performer/performer.go
+++ b/internal/commands/performer/performer.go
@@ -24,36 +24,49 @@
 
 // Callers hands decisions to the requests that wait for them.
 type Callers interface {
+	// Decide hands over a decision and never blocks. Without a waiter it is
+	// dropped.
 	Decide(request string, decision scheduler.Effect)
 }
 
 // Ledger queues records for the log.
 type Ledger interface {
+	// Append queues records and does not wait for the log.
 	Append(request scheduler.Append) error
 }
 
 // Peers speaks to other entries.
 type Peers interface {
+	// Probe exchanges digests and reports a refused connection as evidence.
 	Probe(ctx context.Context, entry scheduler.Entry)
+	// Give delivers a resource and reports the receipt.
 	Give(ctx context.Context, e scheduler.Give)
+	// Free tells the end of a carried request; it may be lost.
 	Free(ctx context.Context, e scheduler.Free)
 }
 
 // Servers asks backend servers about their slots.
 type Servers interface {
+	// Busy returns how many slots the server itself counts as in use.
 	Busy(ctx context.Context, address string) (int, error)
 }
 
 // Workers speaks to workers.
 type Workers interface {
+	// Launch starts tasks unless the lease has lapsed. A task that the worker
+	// has had is ignored.
 	Launch(ctx context.Context, e scheduler.Launch) error
+	// Renew extends leases to an absolute time and never shortens one.
 	Renew(ctx context.Context, e scheduler.Renew) error
+	// Halt ends a task; one that has ended is ignored.
 	Halt(ctx context.Context, e scheduler.Halt) error
+	// Report returns the tasks that run and those that have ended.
 	Report(ctx context.Context, e scheduler.Ask) (scheduler.WorkerReported, error)
 }
 
 // Sink takes events.
 type Sink interface {
+	// Submit takes an event; it may block for a short while.
 	Submit(e scheduler.Event)
 }
 
--- a/internal/commands/responder/responder.go
+++ b/internal/commands/responder/responder.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivelock/endivelock/internal/commands/committer"
 	"github.com/endivelock/endivelock/internal/scheduler"
 	"github.com/endivelock/endivelock/pkg/messenger"
 )
@@ -38,3 +41,14 @@
 		Reason:  reason,
 	})
 }
+
+// Uncommitted answers for a record whose effect was not seen, with advice for
+// the case that it may still take effect.
+func Uncommitted(w http.ResponseWriter, err error, advice string) {
+	var fault *committer.Fault
+	if errors.As(err, &fault) && fault.Outcome == scheduler.NotRun {
+		Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, string(scheduler.ReasonLedger), err.Error())
+		return
+	}
+	Fail(w, http.StatusGatewayTimeout, scheduler.Unknown, "ledger-timeout", err.Error()+"; "+advice)
+}
--- a/internal/commands/submitter/submitter.go
+++ b/internal/commands/submitter/submitter.go
@@ -3,7 +3,6 @@
 package submitter
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,33 +11,23 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/endivelock/endivelock/internal/commands/committer"
 	"github.com/endivelock/endivelock/internal/commands/responder"
 	"github.com/endivelock/endivelock/internal/scheduler"
 	"github.com/endivelock/endivelock/pkg/messenger"
 )
 
 const (
-	readBackTimeout = 8 * time.Second
-	maxBody         = 1 << 16
-	maxMembers      = 4096
+	// maxBody bounds the bytes of a description of work.
+	maxBody = 1 << 16
+	// maxMembers bounds the members of a gang.
+	maxMembers = 4096
 )
 
-// Ledger queues records for the log.
-type Ledger interface {
-	Append(request scheduler.Append) error
-}
-
-// Controller tells when the state shows a change.
-type Controller interface {
-	Snapshot() scheduler.State
-	Await(ctx context.Context, condition func(scheduler.State) bool) (scheduler.State, error)
-}
-
 // Submitter handles submission and cancellation.
 type Submitter struct {
-	Ledger     Ledger
-	Controller Controller
-	Logger     logrus.FieldLogger
+	Committer committer.Committer
+	Logger    logrus.FieldLogger
 }
 
 // Routes registers the handlers.
@@ -60,7 +49,7 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		work.ID = key
 	}
-	state := s.Controller.Snapshot()
+	state := s.Committer.Controller.Snapshot()
 	if !state.Ready() {
 		responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, string(scheduler.ReasonNotReady), "the entry is not ready")
 		return
@@ -114,7 +103,7 @@
 
 func (s *Submitter) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	if !s.Controller.Snapshot().Items.Has(id) {
+	if !s.Committer.Controller.Snapshot().Items.Has(id) {
 		responder.Fail(w, http.StatusNotFound, scheduler.NotRun, "work-unknown", "work "+id+" is not known in this zone")
 		return
 	}
@@ -124,21 +113,11 @@
 	})
 }
 
-// commit appends a record and waits until the state shows its effect.
+// commit appends a record and answers once the state shows its effect.
 func (s *Submitter) commit(w http.ResponseWriter, r *http.Request, id string, record scheduler.Record, shown func(scheduler.State) bool) {
-	state := s.Controller.Snapshot()
-	if !shown(state) {
-		request := scheduler.Append{Stream: scheduler.ZoneStream(state.Self.Zone), Records: []scheduler.Record{record}}
-		if err := s.Ledger.Append(request); err != nil {
-			responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, string(scheduler.ReasonLedger), err.Error())
-			return
-		}
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), readBackTimeout)
-	defer cancel()
-	if _, err := s.Controller.Await(ctx, shown); err != nil {
-		responder.Fail(w, http.StatusGatewayTimeout, scheduler.Unknown, "ledger-timeout",
-			"the log has not shown the change yet; ask for work "+id+" or repeat with Idempotency-Key "+id)
+	stream := scheduler.ZoneStream(s.Committer.Controller.Snapshot().Self.Zone)
+	if _, err := s.Committer.Commit(r.Context(), stream, record, shown); err != nil {
+		responder.Uncommitted(w, err, "ask for work "+id+" or repeat with Idempotency-Key "+id)
 		return
 	}
 	s.Logger.WithFields(logrus.Fields{"work": id, "by": r.RemoteAddr, "operation": r.Method}).Info("work recorded")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 // Performer carries out effects. It must not block: the control thread waits
 // for it.
 type Performer interface {
+	// Perform takes effects in the order in which they were decided.
 	Perform(effects []scheduler.Effect)
 }
 
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,47 @@
+package controller_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/controller"
+	"github.com/endivelock/endivelock/internal/scheduler"
+)
+
+// recorder is a performer that keeps the effects.
+type recorder struct{ effects chan scheduler.Effect }
+
+func (r recorder) Perform(effects []scheduler.Effect) {
+	for _, e := range effects {
+		r.effects <- e
+	}
+}
+
+func TestEventsBecomeSnapshotsAndEffects(t *testing.T) {
+	r := recorder{make(chan scheduler.Effect, 8)}
+	c := controller.New(scheduler.New(scheduler.Entry{}, scheduler.Policy{}, time.Now()), r, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return c.Serve(ctx) })
+	c.Submit(scheduler.RequestArrived{Request: scheduler.Request{ID: "x"}})
+	refusal, ok := (<-r.effects).(scheduler.Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refusal.Reason, scheduler.ReasonNotReady)
+
+	before := c.Snapshot()
+	c.Submit(scheduler.DrainStarted{})
+	s, err := c.Await(context.Background(), func(s scheduler.State) bool { return s.Draining })
+	assert.NilError(t, err)
+	assert.Assert(t, s.Draining && !before.Draining)
+	events, _ := c.Cost()
+	assert.Equal(t, events, int64(2))
+
+	cancel()
+	assert.ErrorIs(t, group.Wait(), context.Canceled)
+	_, err = c.Await(ctx, func(scheduler.State) bool { return false })
+	assert.ErrorIs(t, err, context.Canceled)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,11 +27,14 @@
 
 // Reader reads batches of a stream from an offset on, waiting for new ones.
 type Reader interface {
+	// Read returns batches from an offset on, in order and without a gap after
+	// First, and waits up to wait for one to be there.
 	Read(ctx context.Context, stream string, from int64, wait time.Duration) (connector.Page, error)
 }
 
 // Sink takes events.
 type Sink interface {
+	// Submit takes an event; it may block for a short while.
 	Submit(e scheduler.Event)
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -37,11 +37,13 @@
 
 // Sink takes events.
 type Sink interface {
+	// Submit takes an event; it may block for a short while.
 	Submit(e scheduler.Event)
 }
 
 // Viewer returns the published control state.
 type Viewer interface {
+	// Snapshot returns the last published state.
 	Snapshot() scheduler.State
 }
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -117,10 +117,6 @@
 	seen := map[string]bool{}
 	for _, v := range values {
 		key := v.Key.GetToken().Value
-		if seen[key] {
-			r.fault(prefix+key, v.Key, "the key a second time", "each key once")
-			continue
-		}
 		seen[key] = true
 		r.one(prefix, key, v, fields)
 	}
--- a/internal/queries/lister/lister.go
+++ b/internal/queries/lister/lister.go
@@ -16,6 +16,7 @@
 
 // Viewer returns the published control state.
 type Viewer interface {
+	// Snapshot returns the last published state.
 	Snapshot() scheduler.State
 }
 
--- a/internal/queries/reporter/reporter.go
+++ b/internal/queries/reporter/reporter.go
@@ -27,6 +27,7 @@
 
 // Viewer returns the published control state.
 type Viewer interface {
+	// Snapshot returns the last published state.
 	Snapshot() scheduler.State
 }
 
--- /dev/null
+++ b/internal/scheduler/ownership_test.go
@@ -0,0 +1,121 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/scheduler"
+)
+
+func id(name string) scheduler.EntryID { return scheduler.EntryID{Name: name, Incarnation: 1} }
+
+// heirState returns the state of entry a, in a zone where b owns a server and
+// the line of succession is as given.
+func heirState(line, over []scheduler.EntryID) scheduler.State {
+	s := scheduler.New(scheduler.Entry{ID: id("a"), Zone: "z"}, scheduler.Policy{Tranches: 1}, begin())
+	s = after(s, 0, scheduler.InstancesListed{Instances: []scheduler.Instance{
+		{Kind: scheduler.KindServer, Name: "s", Zone: "z", Address: "s:1", Slots: 2},
+		{Kind: scheduler.KindEntry, Name: "b", Zone: "z", Address: "b:1"},
+		{Kind: scheduler.KindEntry, Name: "c", Zone: "z", Address: "c:1"},
+	}})
+	for _, name := range []string{"b", "c"} {
+		s = after(s, 0, scheduler.DigestHeard{Digest: scheduler.Digest{Entry: scheduler.Entry{ID: id(name), Zone: "z", Peer: name + ":1"}, Ready: true}})
+	}
+	return after(s, 0, ledger(5, scheduler.ClaimRecord{Resource: "server/s", Owner: id("b"), Line: line, Over: over, Found: true}))
+}
+
+// refusedTwice gives the evidence that proves the death of an entry.
+func refusedTwice(s scheduler.State, name string) scheduler.State {
+	s = after(s, time.Second, scheduler.PeerRefused{Entry: id(name)})
+	return after(s, 2*time.Second, scheduler.PeerRefused{Entry: id(name)})
+}
+
+func TestTakeoverNeedsEvidence(t *testing.T) {
+	a, c := id("a"), id("c")
+	cases := []struct {
+		name  string
+		state scheduler.State
+		want  bool
+	}{
+		{"silence alone", after(heirState([]scheduler.EntryID{a}, nil), 10*time.Second, scheduler.Ticked{}), false},
+		{"one refusal", after(heirState([]scheduler.EntryID{a}, nil), time.Second, scheduler.PeerRefused{Entry: id("b")}), false},
+		{"two refusals at once", after(after(heirState([]scheduler.EntryID{a}, nil), time.Second, scheduler.PeerRefused{Entry: id("b")}), time.Second, scheduler.PeerRefused{Entry: id("b")}), false},
+		{"two refusals apart", refusedTwice(heirState([]scheduler.EntryID{a}, nil), "b"), true},
+		{"another one ahead in line", refusedTwice(heirState([]scheduler.EntryID{c, a}, nil), "b"), false},
+		{"the one ahead is dead, too", refusedTwice(refusedTwice(heirState([]scheduler.EntryID{c, a}, nil), "b"), "c"), true},
+		{"an overtaken entry has not read the claim", refusedTwice(heirState([]scheduler.EntryID{a, c}, []scheduler.EntryID{c}), "b"), false},
+		{"not in line", refusedTwice(heirState([]scheduler.EntryID{c}, nil), "b"), false},
+	}
+	for _, x := range cases {
+		s := after(x.state, 12*time.Second, scheduler.Ticked{})
+		assert.Equal(t, s.HoldsServer("s"), x.want, x.name)
+	}
+}
+
+func TestAnotherIncarnationIsEvidence(t *testing.T) {
+	s := heirState([]scheduler.EntryID{id("a")}, nil)
+	again := scheduler.Entry{ID: scheduler.EntryID{Name: "b", Incarnation: 2}, Zone: "z", Peer: "b:1"}
+	s = after(s, time.Second, scheduler.DigestHeard{Digest: scheduler.Digest{Entry: again}})
+	s = after(s, time.Second, scheduler.Ticked{})
+	assert.Assert(t, s.HoldsServer("s"))
+}
+
+func TestHeirCountsAllSlotsAsBusy(t *testing.T) {
+	s := refusedTwice(heirState([]scheduler.EntryID{id("a")}, nil), "b")
+	assert.Assert(t, s.HoldsServer("s"))
+	assert.Equal(t, s.FreeSlots(), 0)
+	s, polls := does[scheduler.Poll](s, 3*time.Second, scheduler.Ticked{})
+	assert.Equal(t, len(polls), 1)
+	s = after(s, 3*time.Second, scheduler.ServerPolled{Server: "s", Busy: 1, Lost: polls[0].Lost})
+	assert.Equal(t, s.FreeSlots(), 1)
+}
+
+func TestFoundingClaimActsOnlyWhenReadBack(t *testing.T) {
+	s := heirState([]scheduler.EntryID{id("a")}, nil)
+	s, appends := does[scheduler.Append](s, 20*time.Second, scheduler.Ticked{})
+	assert.Assert(t, len(appends) > 0)
+	assert.Assert(t, !s.Holds.Has("tranche/0"))
+	record := appends[0].Records[0].(scheduler.ClaimRecord)
+	rival := record
+	rival.Owner = id("c")
+	lost := after(s, 20*time.Second, ledger(6, rival, record))
+	assert.Assert(t, !lost.Holds.Has("tranche/0"))
+	won := after(s, 20*time.Second, ledger(6, record, rival))
+	assert.Assert(t, won.Holds.Has("tranche/0"))
+}
+
+func TestGiftIsTakenOnce(t *testing.T) {
+	s := heirState([]scheduler.EntryID{id("a")}, nil)
+	claim := scheduler.Claim{Owner: id("a"), Epoch: 5, Hand: 1}
+	gift := scheduler.GiftReceived{From: scheduler.Entry{ID: id("b")}, Resource: "server/s", Claim: claim, Running: []scheduler.Carried{{Request: "r", Until: begin().Add(time.Minute)}}}
+	s = after(s, time.Second, gift)
+	assert.Assert(t, s.HoldsServer("s"))
+	assert.Equal(t, s.FreeSlots(), 1)
+	s = after(s, time.Second, gift)
+	assert.Equal(t, s.FreeSlots(), 1)
+	s = after(s, time.Second, scheduler.CarriedEnded{Server: "s", Request: "r"})
+	assert.Equal(t, s.FreeSlots(), 2)
+}
+
+func TestConfigurationRacesAreDecidedByTheLog(t *testing.T) {
+	first := scheduler.ListRecord{List: scheduler.ListPlans, Basis: 1, Nonce: "first", Plans: []scheduler.Plan{{Name: "p"}, {Name: "q"}}}
+	second := scheduler.ListRecord{List: scheduler.ListPlans, Basis: 1, Nonce: "second", Plans: []scheduler.Plan{{Name: "r"}}}
+	s := after(owner(1), 0, config(3, first))
+	s = after(s, 0, config(4, second))
+	assert.Equal(t, s.Config.PlansVersion, int64(3))
+	won, _ := s.Config.Edit("first")
+	lost, _ := s.Config.Edit("second")
+	assert.Assert(t, won.Accepted && !lost.Accepted)
+	s = after(s, 0, config(2, second))
+	assert.Equal(t, s.Config.Offset, int64(3), "an older offset must not apply")
+}
+
+func TestSnapshotServesALateReader(t *testing.T) {
+	c := owner(1).Config
+	s := scheduler.New(scheduler.Entry{ID: id("n"), Zone: "z"}, scheduler.Policy{}, begin())
+	s = after(s, 0, config(9, scheduler.SnapshotRecord{Config: c}))
+	assert.Equal(t, s.Config.Offset, c.Offset)
+	assert.Assert(t, s.Configured())
+}
