Rank servers and workers; keep leases per worker; halve the peers' bytes

Cause: benchmarks of the core showed costs that grow in line with the zone: a placement scanned and sorted all workers, a tick walked over every resource, item and task. Change: persistent rankings by free capacity, kept by the only setters of books and holds; leases are kept per worker, with the tasks that it does not report apart; agendas for questions, silence and missing tasks; ownership is looked at every 200 ms; an entry leaves out peers that it heard within a period, and the period is 500 ms.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -198,7 +198,7 @@
 		tree.Add(f)
 	}
 	tree.Add(&duty{name: "tick", timer: e.timer, period: tickPeriod, act: e.tick})
-	tree.Add(&duty{name: "digests", timer: e.timer, period: digestPeriod, jitter: dutyJitter, act: e.gossiper.Round})
+	tree.Add(&duty{name: "digests", timer: e.timer, period: gossiper.Period, jitter: dutyJitter, act: e.gossiper.Round})
 	tree.Add(&duty{name: "list", timer: e.timer, period: listPeriod, jitter: dutyJitter, act: e.list, first: true})
 	tree.Add(&duty{name: "configuration", timer: e.timer, period: listPeriod, jitter: dutyJitter, act: e.askConfig})
 }
--- a/internal/assembler/duty.go
+++ b/internal/assembler/duty.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	tickPeriod   = 100 * time.Millisecond
-	digestPeriod = 250 * time.Millisecond
-	listPeriod   = time.Second
-	dutyJitter   = 0.2
+	tickPeriod = 100 * time.Millisecond
+	listPeriod = time.Second
+	dutyJitter = 0.2
 )
 
 // duty does something at every signal of the timer service.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -25,6 +25,8 @@
 	callTimeout = 2 * time.Second
 	// Fanout is how many peers one round of digests reaches.
 	Fanout = 2
+	// Period is the time between two rounds.
+	Period = 500 * time.Millisecond
 )
 
 // Methods of the protocol between entries.
@@ -172,7 +174,8 @@
 }
 
 // Round exchanges digests with the next few peers in turn, so that the bytes
-// per entry do not grow with the number of entries.
+// per entry do not grow with the number of entries. An exchange goes both ways,
+// so a peer that was heard lately is left out.
 func (g *Gossiper) Round(ctx context.Context) {
 	peers := g.peers()
 	if len(peers) == 0 {
@@ -194,10 +197,11 @@
 // of each other zone one contact that changes from round to round.
 func (g *Gossiper) peers() []scheduler.Entry {
 	s := g.viewer.Snapshot()
+	lately := g.heardLately(s)
 	other := map[scheduler.Zone][]scheduler.Entry{}
 	var peers []scheduler.Entry
 	for _, i := range s.Entries.All() {
-		if i.Name == s.Self.ID.Name {
+		if i.Name == s.Self.ID.Name || lately[i.Name] {
 			continue
 		}
 		e := scheduler.Entry{ID: scheduler.EntryID{Name: i.Name}, Zone: i.Zone, Peer: i.Address}
@@ -215,6 +219,17 @@
 	return peers
 }
 
+// heardLately returns the names of the entries that were heard within a period.
+func (g *Gossiper) heardLately(s scheduler.State) map[string]bool {
+	lately := map[string]bool{}
+	for _, m := range s.Members.All() {
+		if time.Since(m.Heard) < Period {
+			lately[m.Digest.Entry.ID.Name] = true
+		}
+	}
+	return lately
+}
+
 // Probe exchanges digests with one entry. A refused connection is evidence
 // about the entry that was asked for.
 func (g *Gossiper) Probe(ctx context.Context, entry scheduler.Entry) {
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -8,25 +8,27 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// Agenda is a persistent set of names ordered by time. It answers which names
-// are due without visiting the others. The zero value is empty.
-type Agenda struct {
-	items *immutable.SortedMap[agendaKey, struct{}]
+// Ranking is a persistent set of names, each with a score, in order of score.
+// It answers which names come first without visiting the others. The zero
+// value is empty.
+type Ranking struct {
+	scores Table[int64]
+	order  *immutable.SortedMap[rankKey, struct{}]
 }
 
-type agendaKey struct {
-	at   int64 // Unix nanoseconds
-	name string
+type rankKey struct {
+	score int64
+	name  string
 }
 
-type agendaOrder struct{}
+type rankOrder struct{}
 
-var _ immutable.Comparer[agendaKey] = agendaOrder{}
+var _ immutable.Comparer[rankKey] = rankOrder{}
 
-// Compare orders keys by time, then by name.
-func (agendaOrder) Compare(a, b agendaKey) int {
-	if a.at != b.at {
-		if a.at < b.at {
+// Compare orders keys by score, then by name.
+func (rankOrder) Compare(a, b rankKey) int {
+	if a.score != b.score {
+		if a.score < b.score {
 			return -1
 		}
 		return 1
@@ -35,49 +37,95 @@
 }
 
 // Len returns the number of names.
-func (a Agenda) Len() int {
-	if a.items == nil {
-		return 0
+func (r Ranking) Len() int { return r.scores.Len() }
+
+// Score returns the score of a name.
+func (r Ranking) Score(name string) (int64, bool) { return r.scores.Get(name) }
+
+// With returns a ranking in which name has the given score.
+func (r Ranking) With(name string, score int64) Ranking {
+	old, ok := r.scores.Get(name)
+	if ok && old == score {
+		return r
+	}
+	if r.order == nil {
+		r.order = immutable.NewSortedMap[rankKey, struct{}](rankOrder{})
+	}
+	if ok {
+		r.order = r.order.Delete(rankKey{old, name})
 	}
-	return a.items.Len()
+	r.order = r.order.Set(rankKey{score, name}, struct{}{})
+	r.scores = r.scores.With(name, score)
+	return r
 }
 
-// With returns an agenda that also holds name at the given time.
-func (a Agenda) With(at time.Time, name string) Agenda {
-	if a.items == nil {
-		a.items = immutable.NewSortedMap[agendaKey, struct{}](agendaOrder{})
+// Without returns a ranking that lacks name.
+func (r Ranking) Without(name string) Ranking {
+	old, ok := r.scores.Get(name)
+	if !ok {
+		return r
 	}
-	a.items = a.items.Set(agendaKey{at.UnixNano(), name}, struct{}{})
-	return a
+	r.order = r.order.Delete(rankKey{old, name})
+	r.scores = r.scores.Without(name)
+	return r
 }
 
-// Without returns an agenda that lacks name at the given time.
-func (a Agenda) Without(at time.Time, name string) Agenda {
-	if a.items == nil {
-		return a
+// First returns the name that comes first.
+func (r Ranking) First() (string, bool) {
+	for name := range r.From(-1 << 63) {
+		return name, true
 	}
-	a.items = a.items.Delete(agendaKey{at.UnixNano(), name})
-	return a
+	return "", false
 }
 
-// First returns the earliest time and its name.
-func (a Agenda) First() (time.Time, string, bool) {
-	for at, name := range a.All() {
-		return at, name, true
+// From iterates in order over the names whose score is not below least.
+func (r Ranking) From(least int64) iter.Seq2[string, int64] {
+	return func(yield func(string, int64) bool) {
+		if r.order == nil {
+			return
+		}
+		it := r.order.Iterator()
+		it.Seek(rankKey{score: least})
+		for !it.Done() {
+			key, _, _ := it.Next()
+			if !yield(key.name, key.score) {
+				return
+			}
+		}
 	}
-	return time.Time{}, "", false
+}
+
+// Agenda is a persistent set of names ordered by time. The zero value is empty.
+type Agenda struct {
+	ranking Ranking
+}
+
+// Len returns the number of names.
+func (a Agenda) Len() int { return a.ranking.Len() }
+
+// Has reports whether the agenda holds name.
+func (a Agenda) Has(name string) bool {
+	_, ok := a.ranking.Score(name)
+	return ok
+}
+
+// With returns an agenda that holds name at the given time and no other.
+func (a Agenda) With(at time.Time, name string) Agenda {
+	a.ranking = a.ranking.With(name, at.UnixNano())
+	return a
+}
+
+// Without returns an agenda that lacks name.
+func (a Agenda) Without(name string) Agenda {
+	a.ranking = a.ranking.Without(name)
+	return a
 }
 
 // All iterates in order of time.
 func (a Agenda) All() iter.Seq2[time.Time, string] {
 	return func(yield func(time.Time, string) bool) {
-		if a.items == nil {
-			return
-		}
-		it := a.items.Iterator()
-		for !it.Done() {
-			key, _, _ := it.Next()
-			if !yield(time.Unix(0, key.at), key.name) {
+		for name, at := range a.ranking.From(-1 << 63) {
+			if !yield(time.Unix(0, at), name) {
 				return
 			}
 		}
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -36,14 +36,18 @@
 	t.expireWaits()
 	t.lapseSlots()
 	t.watchMembers()
-	t.claimAll()
+	if t.now.Sub(t.s.Claimed) >= ownershipPause {
+		t.claimAll()
+	}
 	t.resendGifts()
 	t.giveAll()
 	t.balance()
 	t.pollLost()
 	t.watchWorkers()
 	t.placeItems()
-	t.keepRecords()
+	if t.now.Sub(t.s.Kept) >= t.s.Policy.Retention/keepLooks {
+		t.keepRecords()
+	}
 	t.pump()
 }
 
--- a/internal/scheduler/entry.go
+++ b/internal/scheduler/entry.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -14,7 +14,7 @@
 
 // String returns the form used as a key and in logs.
 func (e EntryID) String() string {
-	return fmt.Sprintf("%s#%d", e.Name, e.Incarnation)
+	return e.Name + "#" + strconv.FormatInt(e.Incarnation, 10)
 }
 
 // Entry is one life of an entry instance with its addresses.
--- a/internal/scheduler/hash.go
+++ b/internal/scheduler/hash.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,18 +21,24 @@
 // comes or goes, only the resources that it wins or held change place.
 func rank(resource string, entries []EntryID) []EntryID {
 	ranked := slices.Clone(entries)
-	slices.SortFunc(ranked, func(a, b EntryID) int {
-		x, y := hash(resource, a.Name), hash(resource, b.Name)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		case a.Incarnation > b.Incarnation:
-			return -1
-		default:
-			return 1
-		}
-	})
+	slices.SortFunc(ranked, func(a, b EntryID) int { return compareRank(resource, a, b) })
 	return ranked
 }
+
+// first returns the entry that rank puts first. There must be one.
+func first(resource string, entries []EntryID) EntryID {
+	best := entries[0]
+	for _, e := range entries[1:] {
+		if compareRank(resource, e, best) < 0 {
+			best = e
+		}
+	}
+	return best
+}
+
+func compareRank(resource string, a, b EntryID) int {
+	if c := cmp.Compare(hash(resource, b.Name), hash(resource, a.Name)); c != 0 {
+		return c
+	}
+	return cmp.Compare(b.Incarnation, a.Incarnation)
+}
--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -61,11 +61,10 @@
 
 // Placement is one member of an item on a worker.
 type Placement struct {
-	Worker string    `json:"worker"`
-	Task   string    `json:"task"`            // unique per member and attempt
-	Ended  bool      `json:"ended,omitempty"` // proven by a ledger record not to run any more
-	Told   End       `json:"-"`               // end that its worker reported to this entry
-	Lapse  time.Time `json:"-"`               // when the last lease that may be in force ends
+	Worker string `json:"worker"`
+	Task   string `json:"task"`            // unique per member and attempt
+	Ended  bool   `json:"ended,omitempty"` // proven by a ledger record not to run any more
+	Told   End    `json:"-"`               // end that its worker reported to this entry
 }
 
 // Item is a work item with its place in the ledger. It is exclusive: a member
--- a/internal/scheduler/items.go
+++ b/internal/scheduler/items.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 )
 
@@ -27,7 +26,7 @@
 
 // unpend takes an item out of the queue.
 func (t *step) unpend(i Item) {
-	t.s.Pending = t.s.Pending.Without(i.Due, i.Work.ID)
+	t.s.Pending = t.s.Pending.Without(i.Work.ID)
 }
 
 // Feasible reports why work can never run in this zone, or an empty string.
@@ -85,13 +84,14 @@
 		return
 	}
 	looked := 0
+	candidates := t.candidates()
 	for _, id := range t.s.Pending.All() {
 		if looked == maxPlacedItems {
 			return
 		}
 		looked++
 		i, _ := t.s.Items.Get(id)
-		if !i.Reserved && t.myTurn(i) {
+		if !i.Reserved && t.myTurn(i, candidates) {
 			t.reserve(i)
 		}
 	}
@@ -99,12 +99,14 @@
 
 // myTurn reports whether this entry is to try a pending item now. The turn
 // goes round by rank, so that the item meets every entry's workers.
-func (t *step) myTurn(i Item) bool {
-	candidates := t.candidates()
+func (t *step) myTurn(i Item, candidates []EntryID) bool {
 	if len(candidates) == 0 {
 		return false
 	}
 	turn := int(t.now.Sub(i.Taken) / placingTurn)
+	if turn == 0 {
+		return first(i.Work.ID, candidates) == t.s.Self.ID
+	}
 	return rank(i.Work.ID, candidates)[turn%len(candidates)] == t.s.Self.ID
 }
 
@@ -144,40 +146,26 @@
 // has room first, so that whole workers stay free for large items.
 func (t *step) choose(i Item) ([]Placement, bool) {
 	var placed []Placement
-	for _, w := range t.usableWorkers() {
-		room := w.Free()
-		for len(placed) < i.Work.Members && i.Work.Size.Fits(room) {
-			room = room.Minus(i.Work.Size)
+	for name := range t.s.Room.From(i.Work.Size.CPU) {
+		w, _ := t.s.Workers.Get(name)
+		if !t.answers(name) {
+			continue
+		}
+		for range fitting(i.Work.Size, w.Free(), i.Work.Members-len(placed)) {
 			task := taskName(i.Work.ID, i.Attempt, len(placed))
-			placed = append(placed, Placement{Worker: w.Instance.Name, Task: task})
+			placed = append(placed, Placement{Worker: name, Task: task})
+		}
+		if len(placed) == i.Work.Members {
+			return placed, true
 		}
 	}
-	return placed, len(placed) == i.Work.Members
+	return nil, false
 }
 
-// usableWorkers returns the held and recorded workers that answer, fullest first.
-func (t *step) usableWorkers() []Worker {
-	var usable []Worker
-	for name, w := range t.s.Workers.All() {
-		hold, ok := t.s.Holds.Get(WorkerResource(name))
-		if !ok || !hold.Recorded || !t.s.takesWork(w.Instance, w.Gone) {
-			continue
-		}
-		lease, _ := t.s.Leases.Get(name)
-		if t.now.Sub(lease.Heard) < t.s.Policy.Lease {
-			usable = append(usable, w)
-		}
-	}
-	slices.SortFunc(usable, func(a, b Worker) int {
-		if a.Free().CPU != b.Free().CPU {
-			return int(a.Free().CPU - b.Free().CPU)
-		}
-		if a.Instance.Name < b.Instance.Name {
-			return -1
-		}
-		return 1
-	})
-	return usable
+// answers reports whether a worker has reported lately.
+func (t *step) answers(worker string) bool {
+	lease, _ := t.s.Leases.Get(worker)
+	return t.now.Sub(lease.Heard) < t.s.Policy.Lease
 }
 
 // applyStart accepts a start in the order of the log, by rules that depend
@@ -206,11 +194,10 @@
 	t.unpend(i)
 	i = i.WithStart(r.Placed, offset)
 	t.s.Planned = t.s.Planned.With(i.Work.Plan, used.Plus(i.Work.Total()))
-	for index, p := range i.Placed {
-		p.Lapse = t.now.Add(t.s.Policy.Lease)
-		i = i.WithPlacement(index, p)
+	for _, p := range i.Placed {
 		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(i.Work.Size) })
 		t.addTask(p.Worker, p.Task, r.Item)
+		t.extendLease(p.Worker)
 	}
 	t.putItem(i)
 	if r.By == t.s.Self.ID {
@@ -381,25 +368,19 @@
 		return
 	}
 	used, _ := t.s.Planned.Get(i.Work.Plan)
-	for index, p := range i.Placed {
+	for _, p := range i.Placed {
 		if p.Ended {
 			continue
 		}
 		used = used.Plus(i.Work.Size)
-		p.Lapse = t.now.Add(t.s.Policy.Lease)
-		i = i.WithPlacement(index, p)
 		t.changeWorker(p.Worker, func(w Worker) Worker { return w.WithUsed(i.Work.Size) })
 		t.addTask(p.Worker, p.Task, i.Work.ID)
+		t.extendLease(p.Worker)
 	}
 	t.s.Planned = t.s.Planned.With(i.Work.Plan, used)
 	t.putItem(i)
 }
 
-func (t *step) changeWorker(name string, change func(Worker) Worker) {
-	w, _ := t.s.Workers.Get(name)
-	t.s.Workers = t.s.Workers.With(name, change(w))
-}
-
 func (t *step) addTask(worker, task, item string) {
 	tasks, _ := t.s.Tasks.Get(worker)
 	t.s.Tasks = t.s.Tasks.With(worker, tasks.With(task, item))
@@ -408,4 +389,5 @@
 func (t *step) removeTask(worker, task string) {
 	tasks, _ := t.s.Tasks.Get(worker)
 	t.s.Tasks = t.s.Tasks.With(worker, tasks.Without(task))
+	t.s.Missing = t.s.Missing.Without(task)
 }
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -3,16 +3,19 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
 // renewShare is the part of a lease after which it is renewed.
 const renewShare = 4
 
-// Lease is what the owner of a worker keeps about its leases there.
+// Lease is what the owner of a worker keeps about the leases there. No lease
+// on the worker is in force after Lapse, except those of tasks in State.Missing
+// whose time there is later.
 type Lease struct {
 	Heard time.Time // when the worker last reported
-	Asked time.Time // when it was last asked for a report
+	Lapse time.Time
 }
 
 // TaskEnd is a task's end as its worker reports it.
@@ -33,22 +36,35 @@
 	if !t.s.Holds.Has(WorkerResource(e.Worker)) {
 		return
 	}
+	reported := make(map[string]bool, len(e.Running)+len(e.Ended))
+	t.reportEnded(e, reported)
+	t.renewRunning(e, reported)
+	t.noteMissing(e.Worker, reported)
 	lease, _ := t.s.Leases.Get(e.Worker)
 	lease.Heard = t.now
-	t.s.Leases = t.s.Leases.With(e.Worker, lease)
-	t.reportEnded(e)
-	t.renewRunning(e)
+	lease.Lapse = t.now.Add(t.s.Policy.Lease)
+	t.putLease(e.Worker, lease)
 }
 
-func (t *step) reportEnded(e WorkerReported) {
+// putLease stores a lease and when the worker's tasks count as lost if it
+// stays silent.
+func (t *step) putLease(worker string, lease Lease) {
+	t.s.Leases = t.s.Leases.With(worker, lease)
+	t.s.Silent = t.s.Silent.With(lease.Lapse.Add(t.s.Policy.Drift), worker)
+}
+
+// reportEnded records the ends that a worker reports.
+func (t *step) reportEnded(e WorkerReported, reported map[string]bool) {
 	tasks, _ := t.s.Tasks.Get(e.Worker)
 	var records []Record
 	for _, end := range e.Ended {
 		item, ok := tasks.Get(end.Task)
-		if ok {
-			t.setTold(item, end)
-			records = append(records, FinishRecord{Item: item, Task: end.Task, End: end.End, Why: end.Why})
+		if !ok {
+			continue
 		}
+		reported[end.Task] = true
+		t.setTold(item, end)
+		records = append(records, FinishRecord{Item: item, Task: end.Task, End: end.End, Why: end.Why})
 	}
 	if len(records) > 0 {
 		t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
@@ -60,7 +76,7 @@
 func (t *step) setTold(item string, end TaskEnd) {
 	i, _ := t.s.Items.Get(item)
 	index := i.index(end.Task)
-	if index < 0 {
+	if index < 0 || i.Placed[index].Told == end.End {
 		return
 	}
 	p := i.Placed[index]
@@ -70,88 +86,128 @@
 
 // renewRunning extends the leases of the tasks that the worker runs and that
 // are to go on, and halts the others.
-func (t *step) renewRunning(e WorkerReported) {
+func (t *step) renewRunning(e WorkerReported, reported map[string]bool) {
 	tasks, _ := t.s.Tasks.Get(e.Worker)
 	w, _ := t.s.Workers.Get(e.Worker)
-	expiry := t.now.Add(t.s.Policy.Lease)
 	var renew []string
 	for _, task := range e.Running {
 		item, ok := tasks.Get(task)
 		i, _ := t.s.Items.Get(item)
+		reported[task] = true
 		if !ok || i.Phase != ItemRunning {
 			t.emit(Halt{Worker: e.Worker, Address: w.Instance.Address, Task: task})
 			continue
 		}
 		renew = append(renew, task)
-		t.extendLapse(i, task, expiry)
 	}
 	if len(renew) > 0 {
+		expiry := t.now.Add(t.s.Policy.Lease)
 		t.emit(Renew{Worker: e.Worker, Address: w.Instance.Address, Tasks: renew, Expiry: expiry})
 	}
 }
 
-func (t *step) extendLapse(i Item, task string, lapse time.Time) {
-	index := i.index(task)
-	if index < 0 {
-		return
+// noteMissing keeps when each task that the worker does not report is lost. A
+// task may be missing because its launch is still on the way.
+func (t *step) noteMissing(worker string, reported map[string]bool) {
+	lease, _ := t.s.Leases.Get(worker)
+	tasks, _ := t.s.Tasks.Get(worker)
+	for task := range tasks.All() {
+		switch missing := t.s.Missing.Has(task); {
+		case reported[task] && missing:
+			t.s.Missing = t.s.Missing.Without(task)
+		case !reported[task] && !missing:
+			t.s.Missing = t.s.Missing.With(lease.Lapse.Add(t.s.Policy.Drift), task)
+		}
 	}
-	p := i.Placed[index]
-	p.Lapse = lapse
-	t.putItem(i.WithPlacement(index, p))
 }
 
-// extendLapses notes that leases on a worker may be in force until a time.
-func (t *step) extendLapses(worker string, lapse time.Time) {
+// beginLeases starts the books of a worker that this entry gained. An earlier
+// owner may have renewed leases up to now.
+func (t *step) beginLeases(worker string) {
+	t.putLease(worker, Lease{Lapse: t.now.Add(t.s.Policy.Lease)})
+	t.s.Asks = t.s.Asks.With(t.now, worker)
+}
+
+// endLeases drops the books of a worker that this entry no longer owns.
+func (t *step) endLeases(worker string) {
+	t.s.Leases = t.s.Leases.Without(worker)
+	t.s.Silent = t.s.Silent.Without(worker)
+	t.s.Asks = t.s.Asks.Without(worker)
 	tasks, _ := t.s.Tasks.Get(worker)
-	for task, item := range tasks.All() {
-		i, _ := t.s.Items.Get(item)
-		t.extendLapse(i, task, lapse)
+	for task := range tasks.All() {
+		t.s.Missing = t.s.Missing.Without(task)
+	}
+}
+
+// extendLease notes that a lease that begins now may be in force on a worker.
+func (t *step) extendLease(worker string) {
+	lease, ok := t.s.Leases.Get(worker)
+	if !ok {
+		return
+	}
+	lapse := t.now.Add(t.s.Policy.Lease)
+	if lapse.After(lease.Lapse) {
+		lease.Lapse = lapse
+		t.putLease(worker, lease)
 	}
 }
 
-// watchWorkers asks held workers for a report and declares tasks lost whose
+// watchWorkers asks held workers for reports and declares tasks lost whose
 // last possible lease has lapsed by more than two clocks can differ.
 func (t *step) watchWorkers() {
-	for name, w := range t.s.Workers.All() {
-		hold, ok := t.s.Holds.Get(WorkerResource(name))
-		if !ok {
-			continue
-		}
-		lease, _ := t.s.Leases.Get(name)
-		if t.now.Sub(lease.Asked) >= t.s.Policy.Lease/renewShare {
-			lease.Asked = t.now
-			t.s.Leases = t.s.Leases.With(name, lease)
-			t.emit(Ask{Worker: name, Address: w.Instance.Address})
-		}
-		if hold.Recorded {
-			t.loseTasks(name)
-		}
+	for _, worker := range t.s.Asks.Due(t.now) {
+		w, _ := t.s.Workers.Get(worker)
+		t.s.Asks = t.s.Asks.With(t.now.Add(t.s.Policy.Lease/renewShare), worker)
+		t.emit(Ask{Worker: worker, Address: w.Instance.Address})
+	}
+	var records []Record
+	for _, worker := range t.s.Silent.Due(t.now) {
+		t.s.Silent = t.s.Silent.With(t.now.Add(askPause), worker)
+		records = append(records, t.loseAll(worker)...)
+	}
+	for _, task := range t.s.Missing.Due(t.now) {
+		t.s.Missing = t.s.Missing.With(t.now.Add(askPause), task)
+		records = append(records, t.loseTask(itemOf(task), task)...)
+	}
+	if len(records) > 0 {
+		t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
 	}
 	t.retryReserved()
 }
 
-func (t *step) loseTasks(worker string) {
-	tasks, _ := t.s.Tasks.Get(worker)
+func (t *step) loseAll(worker string) []Record {
 	var records []Record
+	tasks, _ := t.s.Tasks.Get(worker)
 	for task, item := range tasks.All() {
-		i, _ := t.s.Items.Get(item)
-		index := i.index(task)
-		if index < 0 || i.Placed[index].Told != "" {
-			continue
-		}
-		lapse := i.Placed[index].Lapse
-		if t.now.Before(lapse.Add(t.s.Policy.Drift)) {
-			continue
-		}
-		t.extendLapse(i, task, t.now.Add(askPause))
-		records = append(records, FinishRecord{Item: item, Task: task, End: EndLost, Why: "its lease lapsed"})
+		records = append(records, t.loseTask(item, task)...)
 	}
-	if len(records) > 0 {
-		t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
+	return records
+}
+
+// loseTask returns the record that a task is lost, unless its worker has told
+// how it ended or the ownership of the worker is not recorded yet.
+func (t *step) loseTask(item, task string) []Record {
+	i, _ := t.s.Items.Get(item)
+	index := i.index(task)
+	if index < 0 || i.Placed[index].Told != "" {
+		return nil
+	}
+	hold, _ := t.s.Holds.Get(WorkerResource(i.Placed[index].Worker))
+	if !hold.Recorded {
+		return nil
+	}
+	return []Record{FinishRecord{Item: item, Task: task, End: EndLost, Why: "its lease lapsed"}}
+}
+
+// itemOf returns the item in the name of a task.
+func itemOf(task string) string {
+	for range 2 {
+		task = task[:max(0, strings.LastIndexByte(task, '.'))]
 	}
+	return task
 }
 
-// retryReserved repeats the append of starts that were not read back.
+// retryReserved gives back what starts that were not read back have reserved.
 func (t *step) retryReserved() {
 	for id, since := range t.s.Reserved.All() {
 		if t.now.Sub(since) < askPause {
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -83,22 +83,22 @@
 	case i.Zone != t.s.Self.Zone:
 	case i.Kind == KindServer:
 		v, _ := t.s.Servers.Get(i.Name)
-		t.s.Servers = t.s.Servers.With(i.Name, v.WithInstance(i))
+		t.putServer(i.Name, v.WithInstance(i))
 	case i.Kind == KindWorker:
 		w, _ := t.s.Workers.Get(i.Name)
-		t.s.Workers = t.s.Workers.With(i.Name, w.WithInstance(i))
+		t.putWorker(i.Name, w.WithInstance(i))
 	}
 }
 
 func (t *step) markGone(seen map[string]bool) {
 	for name, v := range t.s.Servers.All() {
 		if !seen[string(KindServer)+name] && !v.Gone {
-			t.s.Servers = t.s.Servers.With(name, v.WithGone())
+			t.putServer(name, v.WithGone())
 		}
 	}
 	for name, w := range t.s.Workers.All() {
 		if !seen[string(KindWorker)+name] && !w.Gone {
-			t.s.Workers = t.s.Workers.With(name, w.WithGone())
+			t.putWorker(name, w.WithGone())
 		}
 	}
 }
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -83,7 +83,7 @@
 
 // gain makes this entry the acting owner of a resource.
 func (t *step) gain(resource string, h Hold) {
-	t.s.Holds = t.s.Holds.With(resource, h)
+	t.setHold(resource, h)
 	t.s.Gifts = t.s.Gifts.Without(resource)
 	if name, ok := strings.CutPrefix(resource, serverPrefix); ok {
 		own := t.runningOn(name)
@@ -93,7 +93,7 @@
 		})
 	}
 	if name, ok := strings.CutPrefix(resource, workerPrefix); ok {
-		t.extendLapses(name, t.now.Add(t.s.Policy.Lease))
+		t.beginLeases(name)
 	}
 }
 
@@ -147,7 +147,10 @@
 // lose ends the right to act on a resource. Slots that it carried are of no
 // account here any more.
 func (t *step) lose(resource string) {
-	t.s.Holds = t.s.Holds.Without(resource)
+	t.dropHold(resource)
+	if worker, ok := strings.CutPrefix(resource, workerPrefix); ok {
+		t.endLeases(worker)
+	}
 	name, ok := strings.CutPrefix(resource, serverPrefix)
 	if !ok {
 		return
@@ -161,7 +164,7 @@
 			continue
 		}
 		t.s.Requests = t.s.Requests.Without(r.ID)
-		t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
+		t.s.Lapses = t.s.Lapses.Without(r.ID)
 	}
 	t.changeServer(name, func(v Server) Server {
 		v.Busy, v.Lost = 0, 0
@@ -235,6 +238,7 @@
 	if !t.s.ZoneRead || !t.s.Listed || t.s.Draining {
 		return
 	}
+	t.s.Claimed = t.now
 	candidates := t.candidates()
 	for _, resource := range t.resources() {
 		t.claim(resource, candidates)
@@ -265,8 +269,8 @@
 	if age < t.s.Policy.Settle {
 		return
 	}
-	first := len(candidates) > 0 && rank(resource, candidates)[0] == t.s.Self.ID
-	if !first && age < foundingPause+t.s.Policy.Settle {
+	mine := len(candidates) > 0 && first(resource, candidates) == t.s.Self.ID
+	if !mine && age < foundingPause+t.s.Policy.Settle {
 		return
 	}
 	t.appendClaim(resource, ClaimRecord{
@@ -477,9 +481,9 @@
 		if t.s.Gifts.Len() >= maxGifts {
 			return
 		}
-		first := rank(resource, candidates)[0]
-		if first != t.s.Self.ID && hold.Recorded && !t.asking(resource) {
-			t.move(resource, first)
+		best := first(resource, candidates)
+		if best != t.s.Self.ID && hold.Recorded && !t.asking(resource) {
+			t.move(resource, best)
 		}
 	}
 }
@@ -531,7 +535,7 @@
 	hold, holding := t.s.Holds.Get(r.Resource)
 	switch {
 	case r.Owner == t.s.Self.ID && holding:
-		t.s.Holds = t.s.Holds.With(r.Resource, hold.WithRecorded(offset))
+		t.setHold(r.Resource, hold.WithRecorded(offset))
 	case r.Owner == t.s.Self.ID && r.Found:
 		t.foundBack(r.Resource, c, known, offset)
 	case holding && hold.Recorded:
@@ -547,7 +551,7 @@
 	} else {
 		t.gain(resource, Hold{})
 	}
-	t.s.Holds = t.s.Holds.With(resource, Hold{}.WithRecorded(offset))
+	t.setHold(resource, Hold{}.WithRecorded(offset))
 }
 
 var (
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -10,6 +10,10 @@
 // still counts is repeated.
 const keepShare = 3
 
+// keepLooks is how often within the log's retention an entry looks for records
+// to repeat.
+const keepLooks = 100
+
 // ReadRecord is a record at its place in a stream. Several records written by
 // one append have the same offset.
 type ReadRecord struct {
@@ -87,8 +91,11 @@
 	if c.Offset < t.s.Config.Offset {
 		return
 	}
+	before := t.s.Config.Marks
 	t.s.Config = c
 	t.s.ConfigKept = t.now
+	t.indexMarked(before)
+	t.indexMarked(c.Marks)
 }
 
 // ConfigHeard tells the configuration of a peer. It counts only if it is newer.
@@ -140,6 +147,7 @@
 // keepRecords repeats what the log would otherwise forget: ownership by the
 // owner, the configuration by the entry of the zone that ranks first.
 func (t *step) keepRecords() {
+	t.s.Kept = t.now
 	age := t.s.Policy.Retention / keepShare
 	if t.s.Config.Offset > 0 && t.now.Sub(t.s.ConfigKept) > age && t.ranksFirst(ConfigStream) {
 		t.s.ConfigKept = t.now
@@ -158,7 +166,7 @@
 // entries may both think so for a while; the duties allow it.
 func (t *step) ranksFirst(duty string) bool {
 	candidates := t.candidates()
-	return len(candidates) > 0 && rank(duty, candidates)[0] == t.s.Self.ID
+	return len(candidates) > 0 && first(duty, candidates) == t.s.Self.ID
 }
 
 // keepItems repeats live items that were read long ago.
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -162,46 +162,20 @@
 	if used >= t.s.SlotLimit(r.Plan, t.now) {
 		return false
 	}
-	v, ok := t.pickServer()
+	name, ok := t.s.Open.First()
 	if !ok {
 		return false
 	}
+	v, _ := t.s.Servers.Get(name)
 	until := t.now.Add(t.s.Policy.RequestLimit)
 	r = r.WithServer(v.Instance.Name, until).WithPhase(PhaseRunning)
 	t.s.Requests = t.s.Requests.With(r.ID, r)
 	t.s.Used = t.s.Used.With(r.Plan, used+1)
-	t.s.Servers = t.s.Servers.With(v.Instance.Name, v.WithBusy(1))
+	t.putServer(name, v.WithBusy(1))
 	t.emit(Place{Request: r.ID, Server: v.Instance.Name, Address: v.Instance.Address, Until: until})
 	return true
 }
 
-// pickServer returns the held server with the largest share of free slots,
-// preferring one with no lost slot and no failed connection.
-func (t *step) pickServer() (Server, bool) {
-	var best Server
-	found := false
-	for resource := range t.s.Holds.All() {
-		v, ok := t.s.heldServer(resource)
-		if !ok || v.Free() == 0 {
-			continue
-		}
-		if !found || betterServer(v, best) {
-			best, found = v, true
-		}
-	}
-	return best, found
-}
-
-func betterServer(a, b Server) bool {
-	if a.Failures != b.Failures {
-		return a.Failures < b.Failures
-	}
-	if (a.Lost > 0) != (b.Lost > 0) {
-		return a.Lost == 0
-	}
-	return a.Free()*b.Instance.Slots > b.Free()*a.Instance.Slots
-}
-
 // tryForward sends the request to another entry with free capacity, chosen as
 // the freer of two drawn by the request's identifier.
 func (t *step) tryForward(r Request) bool {
@@ -269,8 +243,8 @@
 
 func (t *step) unqueue(r Request) {
 	t.s.Requests = t.s.Requests.Without(r.ID)
-	t.s.Queue = t.s.Queue.Without(r.Arrived, r.ID)
-	t.s.Waits = t.s.Waits.Without(r.Wait, r.ID)
+	t.s.Queue = t.s.Queue.Without(r.ID)
+	t.s.Waits = t.s.Waits.Without(r.ID)
 }
 
 // pump gives free capacity to queued requests in order of arrival. A plan that
@@ -374,7 +348,7 @@
 // freeSlot ends a carried, lost or owed request.
 func (t *step) freeSlot(r Request) {
 	t.s.Requests = t.s.Requests.Without(r.ID)
-	t.s.Lapses = t.s.Lapses.Without(r.Until, r.ID)
+	t.s.Lapses = t.s.Lapses.Without(r.ID)
 	if r.Plan != "" {
 		t.dropUse(r)
 	}
@@ -416,12 +390,6 @@
 	}
 }
 
-func (t *step) changeServer(name string, change func(Server) Server) {
-	if v, ok := t.s.Servers.Get(name); ok {
-		t.s.Servers = t.s.Servers.With(name, change(v))
-	}
-}
-
 func (t *step) noteUnreachable(name string) {
 	t.changeServer(name, func(v Server) Server { return v.WithFailures(v.Failures + 1) })
 }
@@ -429,7 +397,7 @@
 func (t *step) noteReachable(name string) {
 	v, ok := t.s.Servers.Get(name)
 	if ok && v.Failures > 0 {
-		t.s.Servers = t.s.Servers.With(name, v.WithFailures(0))
+		t.putServer(name, v.WithFailures(0))
 	}
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -33,6 +33,8 @@
 	Claims Table[Claim] // as the log has them, the same at every reader
 	Hands  Table[Claim] // handed over directly, as far as this entry took part
 	Holds  Table[Hold]
+	Open   Ranking // held servers with a free slot, best first
+	Room   Ranking // recorded workers that take work, by free processors
 	Gifts  Table[Gift]
 	Rested Table[time.Time] // tranches that count only after a time
 	Asked  Table[time.Time] // resources for which a claim is being appended
@@ -50,7 +52,12 @@
 	Planned  Table[Size]          // size in use by plan in this zone, from the log
 	Tasks    Table[Table[string]] // by worker: its unended tasks and their items
 	Leases   Table[Lease]         // of held workers
+	Asks     Agenda               // held workers by the time of the next question
+	Silent   Agenda               // held workers by the time at which their tasks are lost
+	Missing  Agenda               // tasks that their worker does not report, by the time at which they are lost
+	Kept     time.Time            // when the repeating of old records was last looked at
 
+	Claimed  time.Time // when missing ownership was last looked for
 	Balanced time.Time // when ownership was last looked at
 }
 
