--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -1,10 +1,14 @@
 // Package appender writes records to the platform's log. Records that arrive
-// within a few milliseconds share one append. It never retries: whoever wants
-// a record in the log learns by reading whether it is there, and asks again.
+// within a pause share one append. The pause is a few milliseconds and grows
+// when the log refuses appends because there are too many, so that all writers
+// together stay within what the log takes. Only a refused append, which had no
+// effect, is repeated: whoever wants a record in the log learns by reading
+// whether it is there, and asks again.
 package appender
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,8 +20,16 @@
 )
 
 const (
-	// gatherTime is how long the first record of a batch waits for others.
-	gatherTime = 4 * time.Millisecond
+	// minPause and maxPause bound how long the first record of a batch waits
+	// for others.
+	minPause = 4 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+	// refusedGrowth and acceptedShare change the pause after an append was
+	// refused and after one was not.
+	refusedGrowth = 2
+	acceptedShare = 0.95
+	// maxRefusals bounds how often one batch is repeated.
+	maxRefusals = 20
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
 	// queueLength is how many requests wait before new ones are dropped.
@@ -36,6 +48,13 @@
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 }
 
+// unsentError is an error that may tell that the operation had no effect.
+type unsentError interface {
+	error
+	// Unsent reports whether the operation is known to have had no effect.
+	Unsent() bool
+}
+
 // Appender writes to the log. Create it with New.
 type Appender struct {
 	log     Log
@@ -44,7 +63,9 @@
 	Records metrics.Counter // records sent
 	Failed  metrics.Counter // appends without an answer that says they were done
 	Delay   metrics.Timer
+	Refused metrics.Counter // appends that the log refused and that were repeated
 	queue   chan scheduler.Append
+	pause   time.Duration
 }
 
 // New returns an appender for a log.
@@ -56,7 +77,9 @@
 		Records: metrics.NewCounter(),
 		Failed:  metrics.NewCounter(),
 		Delay:   metrics.NewTimer(),
+		Refused: metrics.NewCounter(),
 		queue:   make(chan scheduler.Append, queueLength),
+		pause:   minPause,
 	}
 }
 
@@ -82,10 +105,10 @@
 	}
 }
 
-// gather collects the requests that arrive within gatherTime, by stream.
+// gather collects the requests that arrive within the pause, by stream.
 func (a *Appender) gather(ctx context.Context, first scheduler.Append) []scheduler.Append {
 	batches := []scheduler.Append{first}
-	alarm := time.NewTimer(gatherTime)
+	alarm := time.NewTimer(a.pause)
 	defer alarm.Stop()
 	for range maxGathered {
 		select {
@@ -122,15 +145,40 @@
 		a.logger.WithError(err).Error("records not encoded")
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	begin := time.Now()
-	_, err = a.log.Append(bounded, b.Stream, data)
-	a.Delay.UpdateSince(begin)
+	for range maxRefusals {
+		err = a.try(ctx, b.Stream, data)
+		var refusal unsentError
+		if !errors.As(err, &refusal) || !refusal.Unsent() {
+			break
+		}
+		a.Refused.Inc(1)
+		a.pause = min(refusedGrowth*a.pause, maxPause)
+		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(a.pause)))
+	}
 	a.Batches.Inc(1)
 	a.Records.Inc(int64(len(b.Records)))
 	if err != nil {
 		a.Failed.Inc(1)
 		a.logger.WithField("stream", b.Stream).WithError(err).Warn("append not confirmed")
+		return
+	}
+	a.pause = max(minPause, time.Duration(acceptedShare*float64(a.pause)))
+}
+
+func (a *Appender) try(ctx context.Context, stream string, data []byte) error {
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	begin := time.Now()
+	_, err := a.log.Append(bounded, stream, data)
+	a.Delay.UpdateSince(begin)
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -119,6 +119,7 @@
 	e.reporter.Add("append.batches", e.appender.Batches)
 	e.reporter.Add("append.records", e.appender.Records)
 	e.reporter.Add("append.failed", e.appender.Failed)
+	e.reporter.Add("append.refused", e.appender.Refused)
 	e.reporter.Add("effects.dropped", e.performer.Dropped)
 	e.reporter.AddAll("requests.", e.admitter.Counts)
 	e.reporter.AddAll("forwards.", e.forwards.Counts)
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -41,6 +41,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// Unsent reports whether the operation is known to have had no effect.
+func (e *Error) Unsent() bool { return !e.Sent }
+
 var _ error = (*Error)(nil)
 
 // Entry is one batch of the log as the platform keeps it.
--- a/internal/connector/worker.go
+++ b/internal/connector/worker.go
@@ -19,38 +19,38 @@
 	Client *http.Client
 }
 
-// leaseMessage starts or renews tasks.
-type leaseMessage struct {
+// LeaseMessage starts or renews tasks.
+type LeaseMessage struct {
 	Tasks  []scheduler.Task `json:"tasks,omitempty"`
 	Names  []string         `json:"names,omitempty"`
 	Expiry time.Time        `json:"expiry,omitzero"`
 }
 
-// reportMessage is what a worker says of its tasks.
-type reportMessage struct {
+// ReportMessage is what a worker says of its tasks.
+type ReportMessage struct {
 	Running []string            `json:"running"`
 	Ended   []scheduler.TaskEnd `json:"ended"`
 }
 
 // Launch starts tasks on a worker. A worker ignores a task that it has had.
 func (w *Workers) Launch(ctx context.Context, e scheduler.Launch) error {
-	return w.post(ctx, e.Address, "/tasks", leaseMessage{Tasks: e.Tasks, Expiry: e.Expiry}, nil)
+	return w.post(ctx, e.Address, "/tasks", LeaseMessage{Tasks: e.Tasks, Expiry: e.Expiry}, nil)
 }
 
 // Renew extends leases.
 func (w *Workers) Renew(ctx context.Context, e scheduler.Renew) error {
-	return w.post(ctx, e.Address, "/leases", leaseMessage{Names: e.Tasks, Expiry: e.Expiry}, nil)
+	return w.post(ctx, e.Address, "/leases", LeaseMessage{Names: e.Tasks, Expiry: e.Expiry}, nil)
 }
 
 // Halt ends a task.
 func (w *Workers) Halt(ctx context.Context, e scheduler.Halt) error {
-	return w.post(ctx, e.Address, "/halt", leaseMessage{Names: []string{e.Task}}, nil)
+	return w.post(ctx, e.Address, "/halt", LeaseMessage{Names: []string{e.Task}}, nil)
 }
 
 // Report asks a worker for its tasks.
 func (w *Workers) Report(ctx context.Context, e scheduler.Ask) (scheduler.WorkerReported, error) {
-	var m reportMessage
-	if err := w.post(ctx, e.Address, "/report", leaseMessage{}, &m); err != nil {
+	var m ReportMessage
+	if err := w.post(ctx, e.Address, "/report", LeaseMessage{}, &m); err != nil {
 		return scheduler.WorkerReported{}, err
 	}
 	return scheduler.WorkerReported{Worker: e.Worker, Running: m.Running, Ended: m.Ended}, nil
