--- a/cmd/endivelock-bench/standin.go
+++ b/cmd/endivelock-bench/standin.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -73,9 +74,7 @@
 		return serve(ctx, c.Direct, &emulator.Backend{Slots: 1 << 20, Book: &emulator.Book{}})
 	})
 	group.Go(func() error {
-		return serve(ctx, fmt.Sprintf("%s:%d", c.Host, c.Port-1), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			_ = json.NewEncoder(w).Encode(recordOf(book, servers))
-		}))
+		return serve(ctx, fmt.Sprintf("%s:%d", c.Host, c.Port-1), backendAdmin(book, servers))
 	})
 	if err := register(ctx, c.Platform, instances); err != nil {
 		return err
@@ -83,6 +82,25 @@
 	return group.Wait()
 }
 
+// backendAdmin answers the servers' records, and changes how server N behaves at
+// PUT /conduct/N.
+func backendAdmin(book *emulator.Book, servers []*emulator.Backend) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(recordOf(book, servers))
+	})
+	mux.HandleFunc("PUT /conduct/{server}", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.Atoi(r.PathValue("server"))
+		var conduct emulator.Conduct
+		if err != nil || n < 0 || n >= len(servers) || json.NewDecoder(r.Body).Decode(&conduct) != nil {
+			http.Error(w, "no such server or conduct", http.StatusBadRequest)
+			return
+		}
+		servers[n].SetConduct(conduct)
+	})
+	return mux
+}
+
 func recordOf(book *emulator.Book, servers []*emulator.Backend) record {
 	r := record{Ran: book.Requests()}
 	for _, b := range servers {
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,11 +24,15 @@
 
 // Conduct is how a backend server behaves.
 type Conduct struct {
-	Delay   time.Duration // added to every request
-	Fail    bool          // every request is answered with an error
-	Crossed bool          // answers name another request
+	Delay   time.Duration `json:"delay"`   // added to every request, nanoseconds; a late answer
+	Fail    bool          `json:"fail"`    // every request is answered with an error
+	Crossed bool          `json:"crossed"` // answers name another request
+	Paused  bool          `json:"paused"`  // nothing goes on, as if the process were stopped
 }
 
+// pausePeriod is the time between two looks whether a pause is over.
+const pausePeriod = 20 * time.Millisecond
+
 // Backend is a backend server with slots.
 type Backend struct {
 	Slots int
@@ -55,6 +60,25 @@
 	return b.highest, b.over
 }
 
+// waitPause returns when the server is not paused.
+func (b *Backend) waitPause(ctx context.Context) {
+	ticker := time.NewTicker(pausePeriod)
+	defer ticker.Stop()
+	for {
+		b.mu.Lock()
+		paused := b.conduct.Paused
+		b.mu.Unlock()
+		if !paused {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (b *Backend) enter() Conduct {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,6 +98,7 @@
 
 // ServeHTTP runs one request, or answers how many slots are busy.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.waitPause(r.Context())
 	if r.URL.Path == "/slots" {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -88,6 +113,7 @@
 	digest := xxhash.New()
 	_, _ = io.Copy(digest, r.Body)
 	time.Sleep(take + c.Delay)
+	b.waitPause(r.Context())
 	b.reply(w, r, c, digest.Sum64())
 }
 
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -17,10 +17,18 @@
 type Worker struct {
 	Size scheduler.Size
 	Book *Book
+	Lag  time.Duration // age of the usage that it reports
 
 	mu    sync.Mutex
 	tasks map[string]*job
 	used  scheduler.Size
+	usage []usage
+}
+
+// usage is what was in use at a time.
+type usage struct {
+	at   time.Time
+	used scheduler.Size
 }
 
 // job is one task.
@@ -30,6 +38,9 @@
 	done   time.Time // zero for a service
 	ended  scheduler.End
 	at     time.Time
+	saved  time.Duration // run time that a checkpoint keeps
+	begun  time.Time
+	slow   bool // throttled: takes twice the time that is left
 }
 
 // member names a task's place in its item, whatever the attempt.
@@ -45,6 +56,9 @@
 	mux.HandleFunc("POST /leases", w.renew)
 	mux.HandleFunc("POST /halt", w.halt)
 	mux.HandleFunc("POST /report", w.report)
+	mux.HandleFunc("POST /checkpoint", w.checkpoint)
+	mux.HandleFunc("POST /throttle", w.throttle)
+	mux.HandleFunc("GET /usage", w.serveUsage)
 	return mux
 }
 
@@ -84,7 +98,7 @@
 
 func (w *Worker) end(j *job, end scheduler.End, now time.Time) {
 	j.ended, j.at = end, now
-	w.used = w.used.Minus(j.task.Size)
+	w.use(w.used.Minus(j.task.Size), now)
 	w.Book.end(j.task.Item, j.member(), end == scheduler.EndWell)
 }
 
@@ -111,13 +125,13 @@
 	if w.tasks[task.ID] != nil {
 		return
 	}
-	j := &job{task: task, expiry: expiry}
+	j := &job{task: task, expiry: expiry, begun: now}
 	if task.Run > 0 {
 		j.done = now.Add(task.Run)
 	}
 	w.tasks[task.ID] = j
 	w.arm(j)
-	w.used = w.used.Plus(task.Size)
+	w.use(w.used.Plus(task.Size), now)
 	if !w.used.Fits(w.Size) {
 		w.Book.exceed()
 	}
@@ -180,3 +194,61 @@
 	}
 	answer(rw, map[string]any{"running": running, "ended": ended})
 }
+
+// use changes what is in use and keeps its history as long as it matters.
+func (w *Worker) use(used scheduler.Size, now time.Time) {
+	w.used = used
+	w.usage = append(w.usage, usage{now, used})
+	for len(w.usage) > 1 && now.Sub(w.usage[1].at) > w.Lag {
+		w.usage = w.usage[1:]
+	}
+}
+
+// serveUsage answers what was in use a lag ago.
+func (w *Worker) serveUsage(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var used scheduler.Size
+	for _, u := range w.usage {
+		if time.Since(u.at) >= w.Lag {
+			used = u.used
+		}
+	}
+	answer(rw, used)
+}
+
+// checkpoint keeps how far tasks have run.
+func (w *Worker) checkpoint(rw http.ResponseWriter, r *http.Request) {
+	m, ok := w.take(rw, r)
+	if !ok {
+		return
+	}
+	defer w.mu.Unlock()
+	saved := map[string]time.Duration{}
+	for _, id := range m.Names {
+		if j := w.tasks[id]; j != nil && j.ended == "" {
+			j.saved = time.Since(j.begun)
+			saved[id] = j.saved
+		}
+	}
+	answer(rw, saved)
+}
+
+// throttle makes tasks take twice the time that is left to them.
+func (w *Worker) throttle(rw http.ResponseWriter, r *http.Request) {
+	m, ok := w.take(rw, r)
+	if !ok {
+		return
+	}
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, id := range m.Names {
+		j := w.tasks[id]
+		if j == nil || j.ended != "" || j.slow || j.done.IsZero() {
+			continue
+		}
+		j.slow = true
+		j.done = now.Add(2 * j.done.Sub(now))
+		w.arm(j)
+	}
+}
--- a/internal/scheduler/fuzz_test.go
+++ b/internal/scheduler/fuzz_test.go
@@ -167,6 +167,9 @@
 	withNode(w, (*node).acts, func(n *node) {
 		other := w.pick((*node).acts)
 		w.probe(n, scheduler.Entry{Peer: other.state.Self.ID.Name})
+		if w.choose(4) == 0 {
+			w.send(n.state.Self.ID, scheduler.ConfigHeard{Config: other.state.Config})
+		}
 	})
 }
 
@@ -218,6 +221,7 @@
 		stopDrained(w)
 		w.oracle.owners(w.nodes)
 		w.oracle.ledgers(w.nodes)
+		w.oracle.lists(w.log[scheduler.ConfigStream], w.nodes)
 		if len(w.oracle.faults) > 0 {
 			return w.oracle.faults
 		}
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -126,3 +126,20 @@
 		}
 	}
 }
+
+// lists checks that every entry has the version of the list that follows from
+// the part of the log that it has read: an edit counts if nobody was faster.
+func (o *oracle) lists(log []scheduler.ReadRecord, nodes map[string]*node) {
+	for _, n := range nodes {
+		want := int64(0)
+		for _, r := range log {
+			edit, ok := r.Record.(scheduler.ListRecord)
+			if ok && edit.List == scheduler.ListAllowances && r.Offset < n.state.ConfigNext && edit.Basis == want {
+				want = r.Offset
+			}
+		}
+		if n.state.Config.AllowanceVersion != want {
+			o.fault("entry %v has version %d of the list and should have %d", n.state.Self.ID, n.state.Config.AllowanceVersion, want)
+		}
+	}
+}
