--- a/cmd/endivelock/operate.go
+++ b/cmd/endivelock/operate.go
@@ -53,8 +53,8 @@
 // listCommand shows or replaces one of the two lists.
 type listCommand struct {
 	target
-	Set     string `arg:"--set" help:"JSON file with the new list, - for standard input"`
-	Version *int64 `arg:"--version" help:"version that the new list was edited from; without it the one in the file, or else the present one"`
+	Set   string `arg:"--set" help:"JSON file with the new list, - for standard input"`
+	Basis *int64 `arg:"--basis" help:"version that the new list was edited from; without it the one in the file, or else the present one"`
 }
 
 func (c *listCommand) apply(ctx context.Context, list string) (bool, error) {
@@ -78,8 +78,8 @@
 
 // basis returns the version that a list was edited from.
 func (c *listCommand) basis(ctx context.Context, list string, body []byte) (int64, error) {
-	if c.Version != nil {
-		return *c.Version, nil
+	if c.Basis != nil {
+		return *c.Basis, nil
 	}
 	var file struct {
 		Version int64 `json:"version"`
@@ -282,11 +282,19 @@
 	}
 	return c.print(answer, "ENTRY\tZONE\tSTATE\tCONFIG\tFREE\tQUEUE\tAGE", func(w io.Writer) {
 		for _, e := range answer.Entries {
-			row(w, e.ID, e.Zone, e.State, e.Config, e.Free, e.Queue, fmt.Sprintf("%.1fs", e.Age))
+			row(w, e.ID, e.Zone, e.State, e.Config, e.Free, e.Queue, age(e.Age))
 		}
 	})
 }
 
+// age writes the seconds since an entry was heard.
+func age(seconds float64) string {
+	if seconds < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1fs", seconds)
+}
+
 type reportCommand struct{ target }
 
 func (c *reportCommand) run(ctx context.Context) error {
--- a/internal/commands/admitter/admitter.go
+++ b/internal/commands/admitter/admitter.go
@@ -29,6 +29,9 @@
 	headerTiming   = "Server-Timing"
 )
 
+// kindStanding is the kind of a request whose answer is a stream without end.
+const kindStanding = "standing"
+
 const (
 	// defaultPatience is a caller's deadline if it names none.
 	defaultPatience = 10 * time.Second
@@ -174,10 +177,15 @@
 	if err != nil {
 		return v.problem(http.StatusBadRequest, "header-invalid", err.Error())
 	}
+	kind := v.r.Header.Get(messenger.HeaderKind)
+	if kind != "" && kind != kindStanding {
+		return v.problem(http.StatusBadRequest, "header-invalid", "header "+messenger.HeaderKind+" has value "+strconv.Quote(kind)+`, allowed is "standing"`)
+	}
 	v.request = scheduler.Request{
 		ID:         uuid.NewString(),
 		Plan:       v.r.Header.Get(messenger.HeaderPlan),
 		Deadline:   v.arrived.Add(patience),
+		Standing:   kind == kindStanding,
 		Repeatable: v.r.Header.Get(messenger.HeaderOnce) != "true",
 	}
 	if trusted {
--- a/internal/commands/admitter/admitter_test.go
+++ b/internal/commands/admitter/admitter_test.go
@@ -193,6 +193,7 @@
 	}{
 		{"no plan", []string{messenger.HeaderPlan, ""}, 400, "header-missing"},
 		{"upgrade", []string{"Upgrade", "websocket", "Connection", "Upgrade"}, 501, "upgrade-unsupported"},
+		{"unknown kind", []string{messenger.HeaderKind, "dance"}, 400, "header-invalid"},
 		{"wait is no number", []string{"Prefer", "wait=soon"}, 400, "header-invalid"},
 		{"wait is negative", []string{"Prefer", "wait=-1"}, 400, "header-invalid"},
 		{"wait is endless", []string{"Prefer", "wait=1e9"}, 400, "header-invalid"},
--- a/internal/queries/lister/lister.go
+++ b/internal/queries/lister/lister.go
@@ -152,13 +152,21 @@
 		d := m.Digest
 		entries = append(entries, messenger.EntryStatus{
 			ID: d.Entry.ID.String(), Zone: string(d.Entry.Zone), State: memberState(m),
-			Config: d.Config, Free: d.Free, Queue: d.Queue, Age: l.Now().Sub(m.Heard).Seconds(),
+			Config: d.Config, Free: d.Free, Queue: d.Queue, Age: l.age(m),
 		})
 	}
 	slices.SortFunc(entries, func(a, b messenger.EntryStatus) int { return cmp.Compare(a.ID, b.ID) })
 	write(w, map[string]any{"entries": entries})
 }
 
+// age returns the seconds since a member was heard, -1 if it never was.
+func (l *Lister) age(m scheduler.Member) float64 {
+	if m.Heard.IsZero() {
+		return -1
+	}
+	return l.Now().Sub(m.Heard).Seconds()
+}
+
 func memberState(m scheduler.Member) string {
 	switch {
 	case m.Dead:
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -129,7 +129,7 @@
 		if mine && own.Phase == PhaseRunning && own.Server == name {
 			continue
 		}
-		r := Request{ID: carriedPrefix + c.Request, Phase: PhaseCarried, Server: name, Until: c.Until, Origin: c.From}
+		r := Request{ID: carriedPrefix + c.Request, Phase: PhaseCarried, Server: name, Until: c.Until, Origin: c.From, Arrived: t.now}
 		t.hold(r)
 		t.changeServer(name, func(v Server) Server { return v.WithBusy(1) })
 		if c.Lost {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -27,6 +27,7 @@
 	Plan       string
 	Deadline   time.Time // the caller does not wait longer
 	Repeatable bool      // may be tried again after an unknown outcome
+	Standing   bool      // a stream without end: its exchange is not bounded in time
 	Hops       int       // forwards so far
 	Tried      []string  // entries that refused it
 	Arrived    time.Time
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -8,6 +8,13 @@
 // maxPumped bounds how many queued requests one event looks at.
 const maxPumped = 64
 
+// standingLimit bounds the exchange of a standing request.
+const standingLimit = 365 * 24 * time.Hour
+
+// carriedPatience is how many times the longest run time a carried request is
+// left to the entry that has its exchange.
+const carriedPatience = 2
+
 // lossSettle is the age at which a lost request is known either to have
 // reached its server or never to reach it.
 const lossSettle = 500 * time.Millisecond
@@ -174,6 +181,9 @@
 	}
 	v, _ := t.s.Servers.Get(name)
 	until := t.now.Add(t.s.Policy.RequestLimit)
+	if r.Standing {
+		until = t.now.Add(standingLimit)
+	}
 	r = r.WithServer(v.Instance.Name, until).WithPhase(PhaseRunning)
 	t.s.Requests = t.s.Requests.With(r.ID, r)
 	t.s.Used = t.s.Used.With(r.Plan, used+1)
@@ -395,6 +405,12 @@
 	}
 }
 
+// overdue reports whether the end of a carried request may never be told: its
+// entry is dead, or the message may have been lost. The server knows then.
+func (t *step) overdue(r Request) bool {
+	return t.s.dead(r.Origin) || t.now.Sub(r.Arrived) > carriedPatience*t.s.Policy.RequestLimit
+}
+
 // giveUp turns a carried request into a lost one: nobody will tell its end.
 func (t *step) giveUp(r Request) {
 	t.s.Requests = t.s.Requests.With(r.ID, r.WithLost(t.now))
@@ -407,7 +423,7 @@
 	lost := map[string][]string{}
 	for _, id := range t.s.Lapses.All() {
 		r, _ := t.s.Requests.Get(id)
-		if r.Phase == PhaseCarried && t.s.dead(r.Origin) {
+		if r.Phase == PhaseCarried && t.overdue(r) {
 			t.giveUp(r)
 		}
 		if r.Phase == PhaseLost && t.now.Sub(r.LostAt) >= lossSettle {
--- a/internal/scheduler/requests_test.go
+++ b/internal/scheduler/requests_test.go
@@ -167,3 +167,12 @@
 	assert.Equal(t, s.FreeSlots(), before)
 	assert.Equal(t, s.Requests.Len(), 0)
 }
+
+func TestStandingRequestIsNotBoundedByTheRequestLimit(t *testing.T) {
+	e := arrival("feed")
+	e.Request.Standing = true
+	s, places := does[scheduler.Place](owner(1), 0, e)
+	assert.Assert(t, places[0].Until.After(begin().Add(24*time.Hour)))
+	s = after(s, time.Hour, scheduler.Ticked{})
+	assert.Equal(t, s.FreeSlots(), 0)
+}
--- a/pkg/messenger/problem.go
+++ b/pkg/messenger/problem.go
@@ -8,6 +8,7 @@
 	HeaderPlan    = "Endivelock-Plan"    // plan that a request belongs to
 	HeaderWork    = "Endivelock-Work"    // identifier of a request
 	HeaderOutcome = "Endivelock-Outcome" // ran, not-run or unknown
+	HeaderKind    = "Endivelock-Kind"    // "standing" for a stream without end
 	HeaderOnce    = "Endivelock-Once"    // "true" if a request must not be repeated
 )
 
--- a/pkg/messenger/work.go
+++ b/pkg/messenger/work.go
@@ -60,7 +60,7 @@
 	Config int64   `json:"config"`
 	Free   int     `json:"free"`
 	Queue  int     `json:"queue"`
-	Age    float64 `json:"age"` // seconds since it was last heard
+	Age    float64 `json:"age"` // seconds since it was last heard, -1 for never
 }
 
 // Status is what an entry says of itself.
