--- a/cmd/endivelock/main.go
+++ b/cmd/endivelock/main.go
@@ -62,6 +62,7 @@
 		os.Exit(codeUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	err := c.run(ctx)
 	stop()
 	if err != nil {
--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -17,6 +17,7 @@
 
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
@@ -153,7 +154,7 @@
 		}
 		a.Refused.Inc(1)
 		a.pause = min(refusedGrowth*a.pause, maxPause)
-		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(a.pause)))
+		timer.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(a.pause)))
 	}
 	a.Batches.Inc(1)
 	a.Records.Inc(int64(len(b.Records)))
@@ -173,12 +174,3 @@
 	a.Delay.UpdateSince(begin)
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/assembler/drain.go
+++ b/internal/assembler/drain.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 // CutError tells that a planned stop reached its limit.
@@ -32,10 +32,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.Drain)
 	defer cancel()
 	e.controller.Submit(scheduler.DrainStarted{})
-	pause(ctx, e.settings.Limits.Notice)
-	group, _ := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.callers.Shutdown(ctx) })
-	err := group.Wait()
+	timer.Sleep(ctx, e.settings.Limits.Notice)
+	err := s.callers.Shutdown(ctx)
 	_, awaited := e.controller.Await(ctx, scheduler.State.Drained)
 	e.finish(ctx)
 	if shut := s.forward.Shutdown(ctx); err == nil {
@@ -48,9 +46,10 @@
 		e.logger.Info("entry stopped")
 		return nil
 	}
+	cut := e.cut()
 	_ = s.callers.Close()
 	_ = s.forward.Close()
-	return e.cut()
+	return cut
 }
 
 // finish waits for exchanges that outlive their callers.
@@ -84,12 +83,3 @@
 	e.logger.WithError(err).Warn("entry stopped at its limit")
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/demonstrator/cell.go
+++ b/internal/demonstrator/cell.go
@@ -17,6 +17,7 @@
 	"github.com/endivelock/endivelock/internal/emulator"
 	"github.com/endivelock/endivelock/internal/loader"
 	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/internal/timer"
 	"github.com/endivelock/endivelock/pkg/caller"
 	"github.com/endivelock/endivelock/pkg/messenger"
 )
@@ -198,7 +199,7 @@
 		if ctx.Err() != nil {
 			return ErrNotReady
 		}
-		wait(ctx, 50*time.Millisecond)
+		timer.Sleep(ctx, 50*time.Millisecond)
 	}
 	return nil
 }
@@ -213,7 +214,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrap(err, "reach the first entry")
 		}
-		wait(ctx, 50*time.Millisecond)
+		timer.Sleep(ctx, 50*time.Millisecond)
 	}
 }
 
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivelock/endivelock/internal/generator"
+	"github.com/endivelock/endivelock/internal/timer"
 	"github.com/endivelock/endivelock/pkg/caller"
 	"github.com/endivelock/endivelock/pkg/messenger"
 )
@@ -149,10 +150,10 @@
 // disturb kills one entry after a third of the time and drains another one
 // after two thirds.
 func (r *run) disturb(ctx context.Context) {
-	wait(ctx, r.demo.Duration/3)
+	timer.Sleep(ctx, r.demo.Duration/3)
 	r.demo.say("killing entry " + r.cell.nodes[1].name)
 	r.cell.nodes[1].kill()
-	wait(ctx, r.demo.Duration/3)
+	timer.Sleep(ctx, r.demo.Duration/3)
 	r.demo.say("draining entry " + r.cell.nodes[2].name)
 	r.cell.nodes[2].drain()
 }
@@ -178,7 +179,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		wait(ctx, lookPeriod)
+		timer.Sleep(ctx, lookPeriod)
 	}
 	r.slowest = max(r.slowest, time.Since(sent))
 	return nil
@@ -205,9 +206,9 @@
 func (r *run) settle(ctx context.Context) {
 	limit := time.Now().Add(settleTimeout)
 	for r.lostItems() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
-		wait(ctx, 50*time.Millisecond)
+		timer.Sleep(ctx, 50*time.Millisecond)
 	}
-	wait(ctx, 200*time.Millisecond)
+	timer.Sleep(ctx, 200*time.Millisecond)
 }
 
 func (r *run) lostItems() int {
@@ -242,15 +243,6 @@
 	return []messenger.Allowance{{Plan: "quotes", Slots: slots, Size: size}, {Plan: "beds", Slots: slots, Size: size}}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ErrNotReady tells that the entries did not become ready in time.
 var ErrNotReady = errors.New("entries did not become ready in time")
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/endivelock/endivelock/internal/connector"
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
@@ -60,7 +61,7 @@
 			continue
 		}
 		f.Failed.Inc(1)
-		sleep(ctx, pause)
+		timer.Sleep(ctx, pause)
 		pause = min(2*pause, maxRetry)
 	}
 	return ctx.Err()
@@ -97,12 +98,3 @@
 	}
 	return e
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// Sleep waits for a time or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // idleWait bounds the sleep while nobody subscribes; a subscription ends it.
 const idleWait = time.Hour
 
