--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -153,3 +153,46 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// life applies the three records of an item that another entry places.
+func life(s scheduler.State, offset int64, name string) scheduler.State {
+	w := scheduler.Work{ID: name, Kind: scheduler.ItemDeferred, Plan: "p0", Members: 1, Size: scheduler.Size{CPU: 1000, Memory: 1024}, Run: time.Second}
+	task := name + ".0.0"
+	s = after(s, 0, ledger(offset, scheduler.SubmitRecord{Work: w}))
+	start := scheduler.StartRecord{Item: name, By: id("other"), Limit: scheduler.Size{CPU: 1 << 40, Memory: 1 << 40}, Placed: []scheduler.Placement{{Worker: "far", Task: task}}}
+	s = after(s, 0, ledger(offset+1, start))
+	return after(s, 0, ledger(offset+2, scheduler.FinishRecord{Item: name, Task: task, End: scheduler.EndWell}))
+}
+
+// reader returns the state of an entry that drains, so that it only reads what
+// the owner of worker far does.
+func reader() scheduler.State {
+	s := large(1, 50, 1000, 77)
+	s = after(s, 0, ledger(1<<20, scheduler.ClaimRecord{Resource: "worker/far", Owner: id("other"), Found: true}))
+	return after(s, 0, scheduler.DrainStarted{})
+}
+
+// BenchmarkForeignItem is the cost of an item that another entry places.
+func BenchmarkForeignItem(b *testing.B) {
+	s := reader()
+	b.ReportAllocs()
+	for i := range b.N {
+		next := life(s, 1<<30, fmt.Sprint("x", i))
+		item, _ := next.Items.Get(fmt.Sprint("x", i))
+		assert.Assert(b, item.Phase == scheduler.ItemDone)
+	}
+}
+
+// BenchmarkEndedMemory reports the live bytes of an item that has ended.
+func BenchmarkEndedMemory(b *testing.B) {
+	const items = 20000
+	for range b.N {
+		s := reader()
+		before := liveBytes()
+		for i := range items {
+			s = life(s, int64(1<<30+3*i), fmt.Sprint("x", i))
+		}
+		b.ReportMetric(float64(liveBytes()-before)/items, "B/item")
+		runtime.KeepAlive(s)
+	}
+}
