--- /dev/null
+++ b/cmd/endivelock/main.go
@@ -0,0 +1,61 @@
+// Command endivelock runs entry instances and speaks to them as an operator.
+//
+// Exit codes: 0 done, 1 failed, 2 bad arguments or settings, 3 refused and not
+// run, 4 outcome unknown.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// version is set by the linker.
+var version = "development"
+
+// arguments are the command line.
+type arguments struct {
+	Serve *serveCommand `arg:"subcommand:serve" help:"run an entry instance"`
+	Check *checkCommand `arg:"subcommand:check" help:"check a settings file and report all its faults"`
+}
+
+// Description explains the command.
+func (arguments) Description() string {
+	return "Endivelock schedules unlike work on shared cells.\n"
+}
+
+// Epilogue documents the exit codes.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 bad arguments or settings, 3 refused and not run, 4 outcome unknown."
+}
+
+// Version tells the version.
+func (arguments) Version() string {
+	return "endivelock " + version
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var a arguments
+	p := arg.MustParse(&a)
+	c, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(os.Stderr)
+		os.Exit(codeUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := c.run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "endivelock:", err)
+		os.Exit(codeOf(err))
+	}
+}
--- /dev/null
+++ b/cmd/endivelock/serve.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivelock/endivelock/internal/assembler"
+	"github.com/endivelock/endivelock/internal/loader"
+)
+
+// Exit codes.
+const (
+	codeFailed  = 1
+	codeUsage   = 2
+	codeRefused = 3
+	codeUnknown = 4
+)
+
+// codeOf returns the exit code for an error.
+func codeOf(err error) int {
+	var faults loader.Faults
+	if errors.As(err, &faults) {
+		return codeUsage
+	}
+	return codeFailed
+}
+
+type checkCommand struct {
+	Config string `arg:"--config,required" help:"settings file"`
+}
+
+func (c *checkCommand) run(context.Context) error {
+	if _, err := loader.Load(c.Config); err != nil {
+		return err
+	}
+	fmt.Println(c.Config + ": settings are valid")
+	return nil
+}
+
+type serveCommand struct {
+	Config string `arg:"--config,required" help:"settings file"`
+}
+
+func (c *serveCommand) run(ctx context.Context) error {
+	s, err := loader.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	logger := newLogger(s)
+	entry := assembler.New(s, logger)
+	group, working := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		c.reload(working, entry, s, logger)
+		return nil
+	})
+	group.Go(func() error {
+		err := entry.Run(ctx)
+		if err == nil {
+			return errStopped
+		}
+		return err
+	})
+	if err := group.Wait(); !errors.Is(err, errStopped) {
+		return err
+	}
+	return nil
+}
+
+// errStopped ends the group after a graceful stop.
+var errStopped = errors.New("entry stopped")
+
+func newLogger(s loader.Settings) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	applyLog(logger, s)
+	return logger
+}
+
+func applyLog(logger *logrus.Logger, s loader.Settings) {
+	logger.SetLevel(s.Log.Level)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	if s.Log.Format == "text" {
+		logger.SetFormatter(&logrus.TextFormatter{})
+	}
+}
+
+// reload reads the settings again at SIGHUP. What can change while the entry
+// runs is changed; the rest is named as needing a restart.
+func (c *serveCommand) reload(ctx context.Context, entry *assembler.Entry, s loader.Settings, logger *logrus.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		changed, err := loader.Load(c.Config)
+		if err != nil {
+			logger.WithError(err).Error("settings not changed")
+			continue
+		}
+		if names := s.Restart(changed); len(names) > 0 {
+			logger.Warn("settings that need a restart were not changed: " + strings.Join(names, ", "))
+		}
+		entry.SetPolicy(changed)
+		applyLog(logger, changed)
+		logger.Info("settings changed")
+	}
+}
--- /dev/null
+++ b/internal/assembler/assembler.go
@@ -0,0 +1,187 @@
+// Package assembler builds an entry from its settings: the control thread, the
+// readers of the log, the listeners and the periodic duties, all under one
+// supervisor. It holds no decision; it only joins parts through the small
+// interfaces that they declare.
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/endivelock/endivelock/internal/appender"
+	"github.com/endivelock/endivelock/internal/commands/admitter"
+	"github.com/endivelock/endivelock/internal/commands/dispatcher"
+	"github.com/endivelock/endivelock/internal/commands/editor"
+	"github.com/endivelock/endivelock/internal/commands/performer"
+	"github.com/endivelock/endivelock/internal/commands/submitter"
+	"github.com/endivelock/endivelock/internal/connector"
+	"github.com/endivelock/endivelock/internal/controller"
+	"github.com/endivelock/endivelock/internal/follower"
+	"github.com/endivelock/endivelock/internal/gossiper"
+	"github.com/endivelock/endivelock/internal/loader"
+	"github.com/endivelock/endivelock/internal/queries/lister"
+	"github.com/endivelock/endivelock/internal/queries/reporter"
+	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/internal/timer"
+)
+
+// Entry is one entry instance. Create it with New, then call Run.
+type Entry struct {
+	settings   loader.Settings
+	logger     logrus.FieldLogger
+	controller *controller.Controller
+	timer      *timer.Timer
+	gossiper   *gossiper.Gossiper
+	appender   *appender.Appender
+	platform   *connector.Platform
+	dispatcher *dispatcher.Dispatcher
+	performer  *performer.Performer
+	admitter   *admitter.Admitter
+	forwards   *admitter.Admitter
+	editor     *editor.Editor
+	submitter  *submitter.Submitter
+	lister     *lister.Lister
+	reporter   *reporter.Reporter
+	followers  []*follower.Follower
+	listeners  listeners
+}
+
+// listeners are the open sockets, in the order in which they close.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	forward   net.Listener
+	peers     net.Listener
+}
+
+// New returns an entry that is not running yet.
+func New(s loader.Settings, logger logrus.FieldLogger) *Entry {
+	self := scheduler.Entry{
+		ID:      scheduler.EntryID{Name: s.Name, Incarnation: time.Now().UnixMilli()},
+		Zone:    s.Zone,
+		Peer:    s.Listen.Peers,
+		Forward: s.Listen.Forward,
+	}
+	e := &Entry{settings: s, logger: logger.WithFields(logrus.Fields{"entry": self.ID.Name, "zone": string(s.Zone)})}
+	e.joinCommands(self)
+	e.joinQueries()
+	return e
+}
+
+func (e *Entry) joinCommands(self scheduler.Entry) {
+	desk := &admitter.Desk{}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 8}}
+	e.timer = &timer.Timer{}
+	e.platform = &connector.Platform{URL: e.settings.Platform, Zone: string(self.Zone), Client: client}
+	e.appender = appender.New(e.platform, e.logger)
+	e.dispatcher = dispatcher.New()
+	e.performer = &performer.Performer{
+		Callers: desk,
+		Ledger:  e.appender,
+		Servers: &connector.Servers{Client: client, Path: e.settings.Status},
+		Workers: &connector.Workers{Client: client},
+		Logger:  e.logger,
+		Dropped: metrics.NewCounter(),
+	}
+	e.controller = controller.New(scheduler.New(self, e.settings.Policy(), time.Now()), e.performer, time.Now)
+	e.gossiper = gossiper.New(e.controller, e.controller, e.logger)
+	e.performer.Peers = e.gossiper
+	e.performer.Sink = e.controller
+	e.admitter = admitter.New(e.controller, e.dispatcher, desk, e.logger)
+	e.forwards = admitter.New(e.controller, e.dispatcher, desk, e.logger)
+	e.forwards.Trusted = true
+	e.editor = &editor.Editor{Ledger: e.appender, Controller: e.controller, Logger: e.logger}
+	e.submitter = &submitter.Submitter{Ledger: e.appender, Controller: e.controller, Logger: e.logger}
+	for _, stream := range []string{scheduler.ConfigStream, scheduler.ZoneStream(self.Zone)} {
+		e.followers = append(e.followers, &follower.Follower{
+			Stream: stream, Reader: e.platform, Sink: e.controller, Log: e.logger,
+			Skipped: metrics.NewCounter(), Failed: metrics.NewCounter(), Next: 1,
+		})
+	}
+}
+
+func (e *Entry) joinQueries() {
+	e.lister = &lister.Lister{Viewer: e.controller, Now: time.Now}
+	e.reporter = reporter.New(e.controller, e.settings.Goals.Wait, e.settings.Goals.Share, time.Now)
+	e.reporter.Add("wait", e.admitter.Waited)
+	e.reporter.Add("wait.forwarded", e.forwards.Waited)
+	e.reporter.Add("append.delay", e.appender.Delay)
+	e.reporter.Add("append.batches", e.appender.Batches)
+	e.reporter.Add("append.records", e.appender.Records)
+	e.reporter.Add("append.failed", e.appender.Failed)
+	e.reporter.Add("effects.dropped", e.performer.Dropped)
+	e.reporter.AddAll("requests.", e.admitter.Counts)
+	e.reporter.AddAll("forwards.", e.forwards.Counts)
+	for _, f := range e.followers {
+		e.reporter.Add("log."+f.Stream+".skipped", f.Skipped)
+		e.reporter.Add("log."+f.Stream+".failed", f.Failed)
+	}
+	e.reporter.AddGauge("peer.bytes", func() int64 { n, _ := e.gossiper.Traffic(); return n })
+	e.reporter.AddGauge("peer.calls", func() int64 { _, n := e.gossiper.Traffic(); return n })
+	e.reporter.AddGauge("control.events", func() int64 { n, _ := e.controller.Cost(); return n })
+	e.reporter.AddGauge("control.nanoseconds", func() int64 { _, d := e.controller.Cost(); return int64(d) })
+	e.admitter.Observer = e.reporter
+	e.forwards.Observer = e.reporter
+}
+
+// Snapshot returns the published control state.
+func (e *Entry) Snapshot() scheduler.State {
+	return e.controller.Snapshot()
+}
+
+// Run serves until the context ends and then stops gracefully. A stop that
+// reaches its limit gives an error that says what was cut.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	e.performer.Start(working)
+	tree := suture.New("entry", suture.Spec{EventHook: e.supervised, PassThroughPanics: true})
+	e.addServices(tree)
+	servers := e.addListeners(tree)
+	done := tree.ServeBackground(working)
+	e.logger.WithField("incarnation", e.Snapshot().Self.ID.Incarnation).Info("entry started")
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return errors.Wrap(err, "supervisor ended")
+	}
+	err := e.drain(servers)
+	stop()
+	<-done
+	return err
+}
+
+func (e *Entry) supervised(event suture.Event) {
+	if event.Type() != suture.EventTypeServiceTerminate {
+		return
+	}
+	e.logger.WithField("event", event.String()).Debug("service ended")
+}
+
+func (e *Entry) addServices(tree *suture.Supervisor) {
+	tree.Add(e.timer)
+	tree.Add(e.controller)
+	tree.Add(e.appender)
+	for _, f := range e.followers {
+		tree.Add(f)
+	}
+	tree.Add(&duty{name: "tick", timer: e.timer, period: tickPeriod, act: e.tick})
+	tree.Add(&duty{name: "digests", timer: e.timer, period: digestPeriod, jitter: dutyJitter, act: e.gossiper.Round})
+	tree.Add(&duty{name: "list", timer: e.timer, period: listPeriod, jitter: dutyJitter, act: e.list, first: true})
+	tree.Add(&duty{name: "configuration", timer: e.timer, period: listPeriod, jitter: dutyJitter, act: e.askConfig})
+}
+
+// SetPolicy changes the limits that decisions depend on.
+func (e *Entry) SetPolicy(s loader.Settings) {
+	e.controller.Submit(scheduler.PolicyChanged{Policy: s.Policy()})
+}
--- /dev/null
+++ b/internal/assembler/listen.go
@@ -0,0 +1,139 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+)
+
+// servers are the HTTP servers of an entry, in the order in which they stop.
+type servers struct {
+	callers   *http.Server
+	forward   *http.Server
+	operators *http.Server
+}
+
+// listen opens all sockets, so that a bad address is an error at the start.
+func (e *Entry) listen() error {
+	for _, l := range []struct {
+		name    string
+		address string
+		place   *net.Listener
+	}{
+		{"peers", e.settings.Listen.Peers, &e.listeners.peers},
+		{"forward", e.settings.Listen.Forward, &e.listeners.forward},
+		{"operators", e.settings.Listen.Operators, &e.listeners.operators},
+		{"callers", e.settings.Listen.Callers, &e.listeners.callers},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "open listener for %s", l.name)
+		}
+		*l.place = opened
+	}
+	return nil
+}
+
+// serviceFunc makes a function a service of the supervisor.
+type serviceFunc struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// Serve runs the function.
+func (f serviceFunc) Serve(ctx context.Context) error { return f.serve(ctx) }
+
+// String names the service for the supervisor.
+func (f serviceFunc) String() string { return f.name }
+
+func (e *Entry) addListeners(tree *suture.Supervisor) servers {
+	s := servers{
+		callers:   newServer(e.callersMux()),
+		forward:   newServer(e.forwards),
+		operators: newServer(e.operatorsMux()),
+	}
+	tree.Add(httpService("callers", s.callers, e.listeners.callers))
+	tree.Add(httpService("forward", s.forward, e.listeners.forward))
+	tree.Add(httpService("operators", s.operators, e.listeners.operators))
+	tree.Add(serviceFunc{"peers", func(ctx context.Context) error {
+		err := e.gossiper.Listen(ctx, e.listeners.peers)
+		return errors.Mark(err, suture.ErrDoNotRestart)
+	}})
+	return s
+}
+
+func httpService(name string, server *http.Server, l net.Listener) suture.Service {
+	return serviceFunc{name, func(context.Context) error {
+		err := server.Serve(l)
+		return errors.Mark(err, suture.ErrDoNotRestart)
+	}}
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// callersMux serves callers. Paths under /-/ belong to the entry itself.
+func (e *Entry) callersMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", e.admitter)
+	mux.HandleFunc("GET /-/healthz", e.healthz)
+	mux.HandleFunc("GET /-/readyz", e.readyz)
+	return rawPath{mux: mux, requests: e.admitter}
+}
+
+// rawPath keeps the multiplexer from rewriting the paths of callers' requests.
+type rawPath struct {
+	mux      http.Handler
+	requests http.Handler
+}
+
+// ServeHTTP passes a request on.
+func (p rawPath) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if len(r.URL.Path) < 3 || r.URL.Path[:3] != "/-/" {
+		p.requests.ServeHTTP(w, r)
+		return
+	}
+	p.mux.ServeHTTP(w, r)
+}
+
+func (e *Entry) operatorsMux() http.Handler {
+	mux := http.NewServeMux()
+	e.editor.Routes(mux)
+	e.submitter.Routes(mux)
+	e.lister.Routes(mux)
+	e.reporter.Routes(mux)
+	mux.HandleFunc("GET /healthz", e.healthz)
+	mux.HandleFunc("GET /readyz", e.readyz)
+	return mux
+}
+
+func (e *Entry) healthz(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	s := e.Snapshot()
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]bool{
+		"ready": s.Ready(), "configured": s.Configured(), "ledger": s.ZoneRead, "listed": s.Listed, "draining": s.Draining,
+	})
+}
--- /dev/null
+++ b/internal/commands/editor/editor.go
@@ -0,0 +1,156 @@
+// Package editor changes the two lists and the marks. A change is a record in
+// the platform's log; it is reported as accepted only once this entry has read
+// it back, and the log's order decides between editors.
+package editor
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/endivelock/endivelock/internal/commands/responder"
+	"github.com/endivelock/endivelock/internal/scheduler"
+)
+
+const (
+	// readBackTimeout bounds the wait for a record to be read back.
+	readBackTimeout = 8 * time.Second
+	// maxBody bounds the bytes of a list.
+	maxBody = 2 << 20
+)
+
+// Ledger queues records for the log.
+type Ledger interface {
+	Append(request scheduler.Append) error
+}
+
+// Controller tells when the state shows a change.
+type Controller interface {
+	Snapshot() scheduler.State
+	Await(ctx context.Context, condition func(scheduler.State) bool) (scheduler.State, error)
+}
+
+// Editor handles changes of configuration.
+type Editor struct {
+	Ledger     Ledger
+	Controller Controller
+	Logger     logrus.FieldLogger
+}
+
+// Routes registers the handlers.
+func (e *Editor) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /plans", e.putPlans)
+	mux.HandleFunc("PUT /allowances", e.putAllowances)
+	mux.HandleFunc("POST /marks", e.postMark)
+}
+
+func (e *Editor) putPlans(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Plans []scheduler.Plan `json:"plans"`
+	}
+	if !responder.Read(w, r, maxBody, &body) {
+		return
+	}
+	if err := checkPlans(body.Plans); err != nil {
+		responder.Fail(w, http.StatusUnprocessableEntity, scheduler.NotRun, "list-invalid", err.Error())
+		return
+	}
+	e.edit(w, r, scheduler.ListRecord{List: scheduler.ListPlans, Plans: body.Plans})
+}
+
+func (e *Editor) putAllowances(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Allowances []scheduler.Allowance `json:"allowances"`
+	}
+	if !responder.Read(w, r, maxBody, &body) {
+		return
+	}
+	if err := checkAllowances(body.Allowances); err != nil {
+		responder.Fail(w, http.StatusUnprocessableEntity, scheduler.NotRun, "list-invalid", err.Error())
+		return
+	}
+	e.edit(w, r, scheduler.ListRecord{List: scheduler.ListAllowances, Allowances: body.Allowances})
+}
+
+// edit appends a list based on the version that If-Match names.
+func (e *Editor) edit(w http.ResponseWriter, r *http.Request, record scheduler.ListRecord) {
+	basis, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		responder.Fail(w, http.StatusPreconditionRequired, scheduler.NotRun, "version-missing",
+			`header If-Match must name the version that the list was edited from, "0" for none`)
+		return
+	}
+	record.Basis = basis
+	record.Nonce = nonceOf(r)
+	record.By = r.RemoteAddr
+	e.commit(w, r, record.Nonce, record)
+}
+
+func (e *Editor) postMark(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Instance string         `json:"instance"`
+		Mark     scheduler.Mark `json:"mark"`
+	}
+	if !responder.Read(w, r, maxBody, &body) {
+		return
+	}
+	if err := checkMark(body.Instance, body.Mark); err != nil {
+		responder.Fail(w, http.StatusUnprocessableEntity, scheduler.NotRun, "mark-invalid", err.Error())
+		return
+	}
+	nonce := nonceOf(r)
+	e.commit(w, r, nonce, scheduler.MarkRecord{Instance: body.Instance, Mark: body.Mark, Nonce: nonce, By: r.RemoteAddr})
+}
+
+// nonceOf identifies an edit, so that repeating it after a lost answer does
+// not apply it twice.
+func nonceOf(r *http.Request) string {
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		return key
+	}
+	return uuid.NewString()
+}
+
+// commit appends a record and waits until reading the log has decided it.
+func (e *Editor) commit(w http.ResponseWriter, r *http.Request, nonce string, record scheduler.Record) {
+	if _, decided := e.Controller.Snapshot().Config.Edit(nonce); !decided {
+		request := scheduler.Append{Stream: scheduler.ConfigStream, Records: []scheduler.Record{record}}
+		if err := e.Ledger.Append(request); err != nil {
+			responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, "ledger-unavailable", err.Error())
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), readBackTimeout)
+	defer cancel()
+	s, err := e.Controller.Await(ctx, func(s scheduler.State) bool {
+		_, decided := s.Config.Edit(nonce)
+		return decided
+	})
+	if err != nil {
+		responder.Fail(w, http.StatusGatewayTimeout, scheduler.Unknown, "ledger-timeout",
+			"the log has not shown the change yet; repeat it with Idempotency-Key "+nonce)
+		return
+	}
+	e.report(w, r, s, nonce)
+}
+
+func (e *Editor) report(w http.ResponseWriter, r *http.Request, s scheduler.State, nonce string) {
+	edit, _ := s.Config.Edit(nonce)
+	fields := logrus.Fields{"nonce": nonce, "offset": edit.Offset, "by": r.RemoteAddr, "path": r.URL.Path, "accepted": edit.Accepted}
+	e.Logger.WithFields(fields).Info("configuration edit decided")
+	if !edit.Accepted {
+		responder.Fail(w, http.StatusPreconditionFailed, scheduler.NotRun, "version-stale",
+			"the list was changed since the version that If-Match names")
+		return
+	}
+	version := strconv.FormatInt(edit.Offset, 10)
+	w.Header().Set("ETag", `"`+version+`"`)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]int64{"version": edit.Offset})
+}
--- /dev/null
+++ b/internal/commands/submitter/submitter.go
@@ -0,0 +1,148 @@
+// Package submitter takes work items for workers and cancels them. An item is
+// accepted only when the zone's ledger holds it, so nothing accepted is lost.
+package submitter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/endivelock/endivelock/internal/commands/responder"
+	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/pkg/messenger"
+)
+
+const (
+	readBackTimeout = 8 * time.Second
+	maxBody         = 1 << 16
+	maxMembers      = 4096
+)
+
+// Ledger queues records for the log.
+type Ledger interface {
+	Append(request scheduler.Append) error
+}
+
+// Controller tells when the state shows a change.
+type Controller interface {
+	Snapshot() scheduler.State
+	Await(ctx context.Context, condition func(scheduler.State) bool) (scheduler.State, error)
+}
+
+// Submitter handles submission and cancellation.
+type Submitter struct {
+	Ledger     Ledger
+	Controller Controller
+	Logger     logrus.FieldLogger
+}
+
+// Routes registers the handlers.
+func (s *Submitter) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /work", s.submit)
+	mux.HandleFunc("DELETE /work/{id}", s.cancel)
+}
+
+func (s *Submitter) submit(w http.ResponseWriter, r *http.Request) {
+	var body messenger.Work
+	if !responder.Read(w, r, maxBody, &body) {
+		return
+	}
+	work, err := workOf(body)
+	if err != nil {
+		responder.Fail(w, http.StatusUnprocessableEntity, scheduler.NotRun, "work-invalid", err.Error())
+		return
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		work.ID = key
+	}
+	state := s.Controller.Snapshot()
+	if !state.Ready() {
+		responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, string(scheduler.ReasonNotReady), "the entry is not ready")
+		return
+	}
+	if why := state.Feasible(work); why != "" {
+		responder.Fail(w, http.StatusUnprocessableEntity, scheduler.NotRun, string(scheduler.ReasonInfeasible), why)
+		return
+	}
+	s.commit(w, r, work.ID, scheduler.SubmitRecord{Work: work}, func(state scheduler.State) bool {
+		return state.Items.Has(work.ID)
+	})
+}
+
+func workOf(body messenger.Work) (scheduler.Work, error) {
+	run, err := time.ParseDuration(orText(body.Run, "0s"))
+	if err != nil || run < 0 {
+		return scheduler.Work{}, fmt.Errorf("run is %q, allowed is a duration such as 90s", body.Run)
+	}
+	work := scheduler.Work{
+		ID:       uuid.NewString(),
+		Kind:     scheduler.ItemKind(body.Kind),
+		Plan:     body.Plan,
+		Name:     body.Name,
+		Members:  max(1, body.Members),
+		Size:     scheduler.Size{CPU: body.CPU, Memory: body.Memory, Accelerators: body.Accelerators},
+		Run:      run,
+		Deadline: body.Deadline,
+	}
+	switch {
+	case work.Kind != scheduler.ItemService && work.Kind != scheduler.ItemDeferred && work.Kind != scheduler.ItemGang:
+		return work, fmt.Errorf("kind is %q, allowed are service, deferred and gang", body.Kind)
+	case !work.Size.Valid():
+		return work, fmt.Errorf("size is empty or negative")
+	case body.Members < 0 || work.Members > maxMembers:
+		return work, fmt.Errorf("members is %d, allowed are 1 to %d", body.Members, maxMembers)
+	case work.Members > 1 && work.Kind != scheduler.ItemGang:
+		return work, fmt.Errorf("kind %q has one member, not %d", body.Kind, work.Members)
+	case work.Kind != scheduler.ItemService && run == 0:
+		return work, fmt.Errorf("kind %q needs a run time", body.Kind)
+	}
+	return work, nil
+}
+
+func orText(text, other string) string {
+	if text == "" {
+		return other
+	}
+	return text
+}
+
+func (s *Submitter) cancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !s.Controller.Snapshot().Items.Has(id) {
+		responder.Fail(w, http.StatusNotFound, scheduler.NotRun, "work-unknown", "work "+id+" is not known in this zone")
+		return
+	}
+	s.commit(w, r, id, scheduler.CancelRecord{Item: id}, func(state scheduler.State) bool {
+		item, _ := state.Items.Get(id)
+		return item.Phase.Ended() || item.Phase == scheduler.ItemStopping
+	})
+}
+
+// commit appends a record and waits until the state shows its effect.
+func (s *Submitter) commit(w http.ResponseWriter, r *http.Request, id string, record scheduler.Record, shown func(scheduler.State) bool) {
+	state := s.Controller.Snapshot()
+	if !shown(state) {
+		request := scheduler.Append{Stream: scheduler.ZoneStream(state.Self.Zone), Records: []scheduler.Record{record}}
+		if err := s.Ledger.Append(request); err != nil {
+			responder.Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, string(scheduler.ReasonLedger), err.Error())
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), readBackTimeout)
+	defer cancel()
+	if _, err := s.Controller.Await(ctx, shown); err != nil {
+		responder.Fail(w, http.StatusGatewayTimeout, scheduler.Unknown, "ledger-timeout",
+			"the log has not shown the change yet; ask for work "+id+" or repeat with Idempotency-Key "+id)
+		return
+	}
+	s.Logger.WithFields(logrus.Fields{"work": id, "by": r.RemoteAddr, "operation": r.Method}).Info("work recorded")
+	w.Header().Set("Location", "/work/"+id)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(w).Encode(map[string]string{"id": id})
+}
