--- a/cmd/endivelock/main.go
+++ b/cmd/endivelock/main.go
@@ -21,6 +21,16 @@
 type arguments struct {
 	Serve *serveCommand `arg:"subcommand:serve" help:"run an entry instance"`
 	Check *checkCommand `arg:"subcommand:check" help:"check a settings file and report all its faults"`
+
+	Plans      *plansCommand      `arg:"subcommand:plans" help:"show or replace the list of customers' plans"`
+	Allowances *allowancesCommand `arg:"subcommand:allowances" help:"show or replace the list of what each plan may use"`
+	Mark       *markCommand       `arg:"subcommand:mark" help:"mark an instance to leave or stop"`
+	Submit     *submitCommand     `arg:"subcommand:submit" help:"submit work for workers"`
+	Cancel     *cancelCommand     `arg:"subcommand:cancel" help:"cancel work"`
+	List       *showCommand       `arg:"subcommand:list" help:"list work, servers, workers, entries, marks or the entry's status"`
+	Report     *reportCommand     `arg:"subcommand:report" help:"report how fast the error budget burns"`
+	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a whole small system in this process and count violations"`
+	About      *versionCommand    `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description explains the command.
--- /dev/null
+++ b/cmd/endivelock/operate.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivelock/endivelock/pkg/caller"
+	"github.com/endivelock/endivelock/pkg/messenger"
+)
+
+// target says which entry a command speaks to and how it prints.
+type target struct {
+	Entry string `arg:"--entry,env:ENDIVELOCK_ENTRY" default:"http://127.0.0.1:7100" help:"URL of an entry's operators' listener"`
+	JSON  bool   `arg:"--json" help:"print JSON in place of a table"`
+}
+
+func (t target) client() *caller.Client {
+	return &caller.Client{URL: t.Entry}
+}
+
+// print writes an answer as JSON, or as a table of its rows.
+func (t target) print(answer any, header string, rows func(w io.Writer)) error {
+	if t.JSON {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(answer)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	rows(w)
+	return w.Flush()
+}
+
+func row(w io.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			_, _ = fmt.Fprint(w, "\t")
+		}
+		_, _ = fmt.Fprint(w, cell)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+// listCommand shows or replaces one of the two lists.
+type listCommand struct {
+	target
+	Set     string `arg:"--set" help:"JSON file with the new list, - for standard input"`
+	Version *int64 `arg:"--version" help:"version that the new list was edited from; without it the one in the file, or else the present one"`
+}
+
+func (c *listCommand) apply(ctx context.Context, list string) (bool, error) {
+	if c.Set == "" {
+		return false, nil
+	}
+	body, err := readFile(c.Set)
+	if err != nil {
+		return true, err
+	}
+	basis, err := c.basis(ctx, list, body)
+	if err != nil {
+		return true, err
+	}
+	version, err := c.client().PutList(ctx, list, basis, body)
+	if err != nil {
+		return true, err
+	}
+	return true, c.print(map[string]int64{"version": version}, "VERSION", func(w io.Writer) { row(w, version) })
+}
+
+// basis returns the version that a list was edited from.
+func (c *listCommand) basis(ctx context.Context, list string, body []byte) (int64, error) {
+	if c.Version != nil {
+		return *c.Version, nil
+	}
+	var file struct {
+		Version int64 `json:"version"`
+	}
+	if json.Unmarshal(body, &file) == nil && file.Version > 0 {
+		return file.Version, nil
+	}
+	return c.client().Get(ctx, "/"+list, &json.RawMessage{})
+}
+
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
+
+type plansCommand struct{ listCommand }
+
+func (c *plansCommand) run(ctx context.Context) error {
+	if done, err := c.apply(ctx, "plans"); done {
+		return err
+	}
+	var answer messenger.Plans
+	if _, err := c.client().Get(ctx, "/plans", &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "PLAN\tCUSTOMER\tWEIGHT", func(w io.Writer) {
+		for _, p := range answer.Plans {
+			row(w, p.Name, p.Customer, max(1, p.Weight))
+		}
+	})
+}
+
+type allowancesCommand struct{ listCommand }
+
+func (c *allowancesCommand) run(ctx context.Context) error {
+	if done, err := c.apply(ctx, "allowances"); done {
+		return err
+	}
+	var answer messenger.Allowances
+	if _, err := c.client().Get(ctx, "/allowances", &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "PLAN\tSLOTS\tCPU\tMEMORY\tACCELERATORS", func(w io.Writer) {
+		for _, a := range answer.Allowances {
+			row(w, a.Plan, a.Slots, a.Size.CPU, a.Size.Memory, a.Size.Accelerators)
+		}
+	})
+}
+
+type markCommand struct {
+	target
+	Instance string `arg:"positional,required" help:"name of a backend server or worker"`
+	Mark     string `arg:"positional,required" help:"leave, stop or none"`
+}
+
+func (c *markCommand) run(ctx context.Context) error {
+	mark := c.Mark
+	if mark == "none" {
+		mark = ""
+	}
+	version, err := c.client().Mark(ctx, c.Instance, mark)
+	if err != nil {
+		return err
+	}
+	return c.print(map[string]int64{"version": version}, "VERSION", func(w io.Writer) { row(w, version) })
+}
+
+type submitCommand struct {
+	target
+	File string `arg:"positional,required" help:"JSON file that describes the work, - for standard input"`
+	Key  string `arg:"--key" help:"identifier that makes repeating the command safe"`
+	Wait bool   `arg:"--wait" help:"wait until the work has ended"`
+}
+
+func (c *submitCommand) run(ctx context.Context) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	var work messenger.Work
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&work); err != nil {
+		return usageError{errors.Wrapf(err, "read work from %s", c.File)}
+	}
+	id, err := c.client().Submit(ctx, work, c.Key)
+	if err != nil {
+		return err
+	}
+	if c.Wait {
+		return c.wait(ctx, id)
+	}
+	return c.print(map[string]string{"id": id}, "WORK", func(w io.Writer) { row(w, id) })
+}
+
+// waitPeriod is the time between two looks at work that is waited for.
+const waitPeriod = 500 * time.Millisecond
+
+// wait shows progress on a terminal until the work has ended.
+func (c *submitCommand) wait(ctx context.Context, id string) error {
+	ticker := time.NewTicker(waitPeriod)
+	defer ticker.Stop()
+	for {
+		var status messenger.WorkStatus
+		if _, err := c.client().Get(ctx, "/work/"+id, &status); err != nil {
+			return err
+		}
+		progress("work %s is %s %s", id, status.Phase, status.Why)
+		if status.Ended() {
+			progress("")
+			return c.print(status, "WORK\tPHASE\tATTEMPT\tWHY", func(w io.Writer) { row(w, id, status.Phase, status.Attempt, status.Why) })
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// progress rewrites one line on standard error if that is a terminal.
+func progress(format string, values ...any) {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "\r\x1b[K"+format, values...)
+}
+
+type cancelCommand struct {
+	target
+	Work string `arg:"positional,required" help:"identifier of the work"`
+}
+
+func (c *cancelCommand) run(ctx context.Context) error {
+	if err := c.client().Cancel(ctx, c.Work); err != nil {
+		return err
+	}
+	return c.print(map[string]string{"id": c.Work}, "CANCELLED", func(w io.Writer) { row(w, c.Work) })
+}
+
+type showCommand struct {
+	target
+	What string `arg:"positional" default:"work" help:"work, servers, workers, entries, marks or status"`
+}
+
+func (c *showCommand) run(ctx context.Context) error {
+	switch c.What {
+	case "work":
+		return c.showWork(ctx)
+	case "servers", "workers":
+		return c.showServers(ctx)
+	case "entries":
+		return c.showEntries(ctx)
+	case "marks", "status":
+		var answer json.RawMessage
+		if _, err := c.client().Get(ctx, "/"+c.What, &answer); err != nil {
+			return err
+		}
+		c.JSON = true
+		return c.print(answer, "", nil)
+	}
+	return usageError{errors.Newf("list of %q does not exist, allowed are work, servers, workers, entries, marks and status", c.What)}
+}
+
+func (c *showCommand) showWork(ctx context.Context) error {
+	var answer struct {
+		Work []messenger.WorkStatus `json:"work"`
+	}
+	if _, err := c.client().Get(ctx, "/work", &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "WORK\tKIND\tPLAN\tNAME\tPHASE\tWORKERS\tWHY", func(w io.Writer) {
+		for _, i := range answer.Work {
+			row(w, i.ID, i.Kind, i.Plan, i.Name, i.Phase, strings.Join(i.Workers, ","), i.Why)
+		}
+	})
+}
+
+func (c *showCommand) showServers(ctx context.Context) error {
+	answer := map[string][]messenger.ServerStatus{}
+	if _, err := c.client().Get(ctx, "/"+c.What, &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "NAME\tSTATE\tOWNER\tEPOCH\tSLOTS\tBUSY\tLOST\tCPU\tUSED", func(w io.Writer) {
+		for _, v := range answer[c.What] {
+			row(w, v.Name, v.State, v.Owner, v.Epoch, v.Slots, v.Busy, v.Lost, v.CPU, v.Used)
+		}
+	})
+}
+
+func (c *showCommand) showEntries(ctx context.Context) error {
+	var answer struct {
+		Entries []messenger.EntryStatus `json:"entries"`
+	}
+	if _, err := c.client().Get(ctx, "/entries", &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "ENTRY\tZONE\tSTATE\tCONFIG\tFREE\tQUEUE\tAGE", func(w io.Writer) {
+		for _, e := range answer.Entries {
+			row(w, e.ID, e.Zone, e.State, e.Config, e.Free, e.Queue, fmt.Sprintf("%.1fs", e.Age))
+		}
+	})
+}
+
+type reportCommand struct{ target }
+
+func (c *reportCommand) run(ctx context.Context) error {
+	var answer messenger.Report
+	if _, err := c.client().Get(ctx, "/report", &answer); err != nil {
+		return err
+	}
+	return c.print(answer, "ENTRY\tGOAL\tSHARE\tLIVED\tWINDOW\tREQUESTS\tMISSED\tBURN", func(w io.Writer) {
+		for _, v := range answer.Windows {
+			row(w, answer.Entry, answer.Goal, answer.Share, answer.Lived, v.Window, v.All, v.Bad, fmt.Sprintf("%.2f", v.Burn))
+		}
+	})
+}
+
+type versionCommand struct{}
+
+func (versionCommand) run(context.Context) error {
+	fmt.Println(arguments{}.Version())
+	return nil
+}
--- a/cmd/endivelock/serve.go
+++ b/cmd/endivelock/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/endivelock/endivelock/internal/assembler"
 	"github.com/endivelock/endivelock/internal/loader"
+	"github.com/endivelock/endivelock/pkg/messenger"
 )
 
 // Exit codes.
@@ -27,12 +28,34 @@
 // codeOf returns the exit code for an error.
 func codeOf(err error) int {
 	var faults loader.Faults
-	if errors.As(err, &faults) {
+	var usage usageError
+	if errors.As(err, &faults) || errors.As(err, &usage) {
 		return codeUsage
 	}
+	var problem messenger.Problem
+	if !errors.As(err, &problem) {
+		return codeFailed
+	}
+	switch problem.Outcome {
+	case "not-run":
+		return codeRefused
+	case "unknown":
+		return codeUnknown
+	}
 	return codeFailed
 }
 
+// usageError tells that what the user gave is wrong.
+type usageError struct{ cause error }
+
+// Error describes the cause.
+func (u usageError) Error() string { return u.cause.Error() }
+
+// Unwrap returns the cause.
+func (u usageError) Unwrap() error { return u.cause }
+
+var _ error = usageError{}
+
 type checkCommand struct {
 	Config string `arg:"--config,required" help:"settings file"`
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -51,6 +51,7 @@
 	reporter   *reporter.Reporter
 	followers  []*follower.Follower
 	listeners  listeners
+	killed     chan struct{}
 }
 
 // listeners are the open sockets, in the order in which they close.
@@ -69,7 +70,7 @@
 		Peer:    s.Listen.Peers,
 		Forward: s.Listen.Forward,
 	}
-	e := &Entry{settings: s, logger: logger.WithFields(logrus.Fields{"entry": self.ID.Name, "zone": string(s.Zone)})}
+	e := &Entry{settings: s, logger: logger.WithFields(logrus.Fields{"entry": self.ID.Name, "zone": string(s.Zone)}), killed: make(chan struct{})}
 	e.joinCommands(self)
 	e.joinQueries()
 	return e
@@ -152,6 +153,11 @@
 	e.logger.WithField("incarnation", e.Snapshot().Self.ID.Incarnation).Info("entry started")
 	select {
 	case <-ctx.Done():
+	case <-e.killed:
+		e.abort(servers)
+		stop()
+		<-done
+		return nil
 	case err := <-done:
 		return errors.Wrap(err, "supervisor ended")
 	}
@@ -161,6 +167,20 @@
 	return err
 }
 
+// Kill ends a running entry at once, as the death of its process would: nothing
+// is handed over or finished. Call it at most once.
+func (e *Entry) Kill() {
+	close(e.killed)
+}
+
+func (e *Entry) abort(s servers) {
+	_ = s.callers.Close()
+	_ = s.forward.Close()
+	_ = s.operators.Close()
+	e.dispatcher.Abort()
+	e.gossiper.Close()
+}
+
 func (e *Entry) supervised(event suture.Event) {
 	if event.Type() != suture.EventTypeServiceTerminate {
 		return
--- a/internal/commands/dispatcher/dispatcher.go
+++ b/internal/commands/dispatcher/dispatcher.go
@@ -6,9 +6,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,28 +59,49 @@
 
 var _ error = (*Fault)(nil)
 
-// Dispatcher sends requests. The zero value works once Start was called.
+// Dispatcher sends requests. Create it with New.
 type Dispatcher struct {
 	transport *http.Transport
+
+	mu   sync.Mutex
+	open map[*countedConn]bool
 }
 
 // New returns a dispatcher.
 func New() *Dispatcher {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Dispatcher{transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn}, nil
-		},
+	d := &Dispatcher{open: map[*countedConn]bool{}}
+	d.transport = &http.Transport{
+		DialContext:           d.dial,
 		MaxIdleConnsPerHost:   maxIdlePerHost,
 		MaxConnsPerHost:       maxConnsPerHost,
 		IdleConnTimeout:       idleTimeout,
 		ExpectContinueTimeout: continueTimeout,
 		DisableCompression:    true,
-	}}
+	}
+	return d
+}
+
+func (d *Dispatcher) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &countedConn{Conn: conn, dispatcher: d}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open[c] = true
+	return c, nil
+}
+
+// Abort closes all connections at once, whatever is in progress on them.
+func (d *Dispatcher) Abort() {
+	d.mu.Lock()
+	open := slices.Collect(maps.Keys(d.open))
+	d.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
 }
 
 // CloseIdle closes connections that are not in use.
@@ -131,7 +155,16 @@
 // countedConn counts attempts to write.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes     atomic.Int64
+	dispatcher *Dispatcher
+}
+
+// Close closes the connection and forgets it.
+func (c *countedConn) Close() error {
+	c.dispatcher.mu.Lock()
+	delete(c.dispatcher.open, c)
+	c.dispatcher.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // Write counts the attempt before it is made.
--- a/internal/commands/editor/editor.go
+++ b/internal/commands/editor/editor.go
@@ -52,7 +52,8 @@
 
 func (e *Editor) putPlans(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Plans []scheduler.Plan `json:"plans"`
+		Version int64            `json:"version"` // as read; If-Match counts
+		Plans   []scheduler.Plan `json:"plans"`
 	}
 	if !responder.Read(w, r, maxBody, &body) {
 		return
@@ -66,6 +67,7 @@
 
 func (e *Editor) putAllowances(w http.ResponseWriter, r *http.Request) {
 	var body struct {
+		Version    int64                 `json:"version"` // as read; If-Match counts
 		Allowances []scheduler.Allowance `json:"allowances"`
 	}
 	if !responder.Read(w, r, maxBody, &body) {
--- a/internal/commands/submitter/submitter.go
+++ b/internal/commands/submitter/submitter.go
@@ -88,6 +88,7 @@
 		Size:     scheduler.Size{CPU: body.CPU, Memory: body.Memory, Accelerators: body.Accelerators},
 		Run:      run,
 		Deadline: body.Deadline,
+		Once:     body.Once,
 	}
 	switch {
 	case work.Kind != scheduler.ItemService && work.Kind != scheduler.ItemDeferred && work.Kind != scheduler.ItemGang:
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -218,7 +218,7 @@
 		return
 	}
 	page, grown := p.page(r.PathValue("stream"), from)
-	if len(page.Entries) == 0 && from > 1 {
+	if len(page.Entries) == 0 && wait > 0 {
 		select {
 		case <-grown:
 		case <-time.After(wait):
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,6 +44,8 @@
 	Skipped metrics.Counter // batches and records that were unreadable
 	Failed  metrics.Counter // reads that failed
 	Next    int64           // where to begin
+
+	caught bool // the end of the stream was reached once
 }
 
 // Serve follows the stream until the context ends.
@@ -64,10 +66,15 @@
 func (f *Follower) read(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
 	defer cancel()
-	page, err := f.Reader.Read(bounded, f.Stream, f.Next, pollWait)
+	wait := time.Duration(0)
+	if f.caught {
+		wait = pollWait
+	}
+	page, err := f.Reader.Read(bounded, f.Stream, f.Next, wait)
 	if err != nil {
 		return false
 	}
+	f.caught = f.caught || page.Tail
 	f.Next = max(f.Next, page.Next)
 	f.Sink.Submit(f.event(page))
 	return true
--- a/internal/queries/reporter/reporter.go
+++ b/internal/queries/reporter/reporter.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/endivelock/endivelock/internal/scheduler"
+	"github.com/endivelock/endivelock/pkg/messenger"
 )
 
 const (
@@ -114,29 +115,10 @@
 	}
 }
 
-// Window is the burn of the error budget over one stretch of time. A burn of 1
-// uses up the budget exactly.
-type Window struct {
-	Window string  `json:"window"`
-	All    int64   `json:"all"`
-	Bad    int64   `json:"bad"`
-	Burn   float64 `json:"burn"`
-}
-
-// Report is the state of the objective.
-type Report struct {
-	Entry   string   `json:"entry"`
-	Zone    string   `json:"zone"`
-	Goal    string   `json:"goal"`
-	Share   float64  `json:"share"`
-	Lived   string   `json:"lived"`
-	Windows []Window `json:"windows"`
-}
-
 // Report computes the burn over several windows.
-func (r *Reporter) Report() Report {
+func (r *Reporter) Report() messenger.Report {
 	self := r.viewer.Snapshot().Self
-	report := Report{
+	report := messenger.Report{
 		Entry: self.ID.Name, Zone: string(self.Zone), Goal: r.goal.String(), Share: r.share,
 		Lived: r.now().Sub(r.started).Round(time.Second).String(),
 	}
@@ -146,10 +128,10 @@
 	return report
 }
 
-func (r *Reporter) window(length time.Duration) Window {
+func (r *Reporter) window(length time.Duration) messenger.Window {
 	last := r.now().UnixNano() / int64(slotLength)
 	first := last - int64(length/slotLength) + 1
-	w := Window{Window: length.String()}
+	w := messenger.Window{Window: length.String()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.slots {
--- a/pkg/messenger/work.go
+++ b/pkg/messenger/work.go
@@ -13,6 +13,7 @@
 	Accelerators int64     `json:"accelerators,omitempty"`
 	Run          string    `json:"run,omitempty"` // duration, not for a service
 	Deadline     time.Time `json:"deadline,omitzero"`
+	Once         bool      `json:"once,omitempty"` // must not be started again after it may have run
 }
 
 // WorkStatus is the state of a work item.
@@ -28,6 +29,15 @@
 	Deadline string   `json:"deadline,omitempty"`
 }
 
+// Ended reports whether the work will not change any more.
+func (s WorkStatus) Ended() bool {
+	switch s.Phase {
+	case "done", "failed", "cancelled", "unknown":
+		return true
+	}
+	return false
+}
+
 // ServerStatus is what an entry knows of a backend server or worker.
 type ServerStatus struct {
 	Name  string `json:"name"`
