Place what waits in passes with a pause between them

Work that waited made each event dearer, so the backlog never went away.

Ruled out: advice. 281 caller-seconds of calls in 46 s, where 32 entries may make one each at a time.

Change: a pass is made at most once in 10 ms, and less often while many steps wait; what comes meanwhile is placed together after a Wake. A step's candidates are found once for all of its tasks, and only among permitted workers where the queue needs advice. A worker keeps the sum of what preemption may free. The list of what waits for batches is copied once a turn, not once a start. The oracle draws worlds with and without a pause.

The new BenchmarkBacklog shows what a full cell costs.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -65,6 +65,10 @@
 	// wait for them to lapse before they start elsewhere. It is several times what
 	// a takeover takes.
 	longestLease = 6 * time.Second
+	// placePause is the least time between two passes of placement. It is small
+	// beside the shortest objective of urgent steps, 250 ms, and long enough that
+	// a burst of reports shares a pass.
+	placePause = 10 * time.Millisecond
 	// readyAge is how old the last read of the log may be for an entry that is
 	// ready for requests.
 	readyAge = 2500 * time.Millisecond
@@ -142,7 +146,7 @@
 
 func (e *Entry) policy() keeper.Policy {
 	return keeper.Policy{
-		Leader:   leader.Policy{Lease: min(e.settings.Lease, longestLease), Inherited: renewal},
+		Leader:   leader.Policy{Lease: min(e.settings.Lease, longestLease), Inherited: renewal, Pause: placePause},
 		Patience: patience,
 		Suspect:  suspectPatience,
 		Gone:     gonePatience,
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 // consultTimeout bounds a call for advice by way of another entry.
@@ -64,6 +65,12 @@
 		c.commander.Acknowledge(f)
 	case leader.Consult:
 		e.consult(c, f)
+	case leader.Wake:
+		c.group.Go(func() error {
+			timer.Sleep(e.ctx, f.After)
+			epochSink{e}.Submit(c.epoch, leader.Woken{})
+			return nil
+		})
 	case leader.Note:
 		e.decided(c.epoch, f)
 	}
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -100,8 +100,9 @@
 // anySeat reports whether a permitted worker has room for a task.
 func (p *pass) anySeat(r stepRef, tickets map[string]string) bool {
 	here := p.perWorker(r)
-	for id := range tickets {
-		if i, ok := p.index[id]; ok && p.candidates[i].Free.Fits(r.spec().Room()) && p.allowed(r, i, tickets, here) {
+	size := r.spec().Room()
+	for _, i := range p.able(r, tickets) {
+		if c := &p.candidates[i]; c.Free.Fits(size) && p.below(r, c.ID, here) {
 			return true
 		}
 	}
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,20 +17,47 @@
 	effects []Effect
 	changed container.Table[bool] // jobs whose progress needs a record
 	order   []ledger.ID           // the same, in the order of change
-	place   bool                  // something may have come free or ready
+	queued  bool                  // pending is this turn's own copy
 }
 
 // Apply returns the state after an event and what is to be done.
 func (s State) Apply(e Event, now time.Time) (State, []Effect) {
 	t := &turn{State: s, now: now}
 	e.apply(t)
-	if t.place {
-		t.placeAll()
-	}
+	t.placeWhenDue()
 	t.record()
 	return t.State, t.effects
 }
 
+// stepPause is by how much each waiting step lengthens the pause between two
+// passes. A pass visits every waiting step; this bounds the share of the
+// processor that passes take while a backlog grows.
+const stepPause = 20 * time.Microsecond
+
+// placeWhenDue places what waits if anything has changed since the last pass.
+// Changes that come during the pause after a pass wait for the next one, so
+// that the cost of placement does not grow with the number of events.
+func (t *turn) placeWhenDue() {
+	if !t.place {
+		return
+	}
+	pause := t.policy.Pause
+	if pause > 0 {
+		pause += time.Duration(t.waiting.Len()) * stepPause
+	}
+	if wait := pause - t.now.Sub(t.passed); wait > 0 && pause > 0 {
+		if !t.waking {
+			t.waking = true
+			t.emit(Wake{After: wait})
+		}
+		return
+	}
+	t.place, t.passed = false, t.now
+	t.placeAll()
+}
+
+func (Woken) apply(t *turn) { t.waking = false }
+
 // Counts sums up the state of a cell.
 type Counts struct {
 	Jobs     int // that have not ended
@@ -168,7 +196,10 @@
 // await notes what depends on a batch being in the log: the start of a
 // placement or, without a key, the acknowledgement of ends.
 func (t *turn) await(batch int64, worker, key string) {
-	t.pending = append(t.pending[:len(t.pending):len(t.pending)], dependent{batch, worker, key})
+	if !t.queued {
+		t.pending, t.queued = slices.Clone(t.pending), true
+	}
+	t.pending = append(t.pending, dependent{batch, worker, key})
 }
 
 func (e Committed) apply(t *turn) {
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -17,6 +17,93 @@
 	}
 }
 
+// BenchmarkBacklog measures what the control thread spends on one end of a task
+// while the cell is full and hundreds of steps wait, as after a burst of jobs.
+func BenchmarkBacklog(b *testing.B) {
+	for _, workers := range []int{48, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { measureBacklog(b, workers) })
+	}
+}
+
+// rotation drives a leader whose workers end their oldest task at each report.
+type rotation struct {
+	state   leader.State
+	now     time.Time
+	running map[string][]leader.End
+	counts  map[string]int64
+	woken   []time.Time
+}
+
+func (r *rotation) apply(e leader.Event) {
+	next, effects := r.state.Apply(e, r.now)
+	r.state = next
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case leader.Record:
+			r.apply(leader.Committed{Batch: f.Batch})
+		case leader.Wake:
+			r.woken = append(r.woken, r.now.Add(f.After))
+		case leader.Order:
+			r.apply(leader.Answered{Worker: f.Worker, Kind: f.Kind, Task: f.Task, Run: f.Run})
+			r.counts[f.Worker]++
+			r.running[f.Worker] = append(r.running[f.Worker], leader.End{Number: r.counts[f.Worker], Task: f.Task.String(), Run: f.Run, How: leader.EndDone})
+		}
+	}
+}
+
+func (r *rotation) wait(d time.Duration) {
+	r.now = r.now.Add(d)
+	for len(r.woken) > 0 && !r.woken[0].After(r.now) {
+		r.woken = r.woken[1:]
+		r.apply(leader.Woken{})
+	}
+}
+
+func (r *rotation) list(workers int) {
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		r.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Room: ledger.Size{CPU: 64_000, Memory: 256_000}}})
+		r.apply(leader.Reported{Worker: id, Report: leader.Report{Life: 1}, Sent: r.now})
+	}
+}
+
+const (
+	tasksWaiting = 4000
+	startsASec   = 1000
+)
+
+func measureBacklog(b *testing.B, workers int) {
+	r := &rotation{now: time.Unix(1_700_000_000, 0), running: map[string][]leader.End{}, counts: map[string]int64{}}
+	r.state = leader.New(leader.Policy{Lease: worldLease, Inherited: 5 * time.Second, Pause: 10 * time.Millisecond}, r.now)
+	r.list(workers)
+	step := ledger.Step{Count: tasksOfJob, Size: ledger.Size{CPU: 5000, Memory: 19_000}, Estimate: time.Second}
+	submit := func(i int) {
+		r.apply(leader.Accepted{Job: ledger.Job{ID: ledger.ID(fmt.Sprintf("j%d", i)), Accepted: r.now, Queue: ledger.Queue{Service: "s"}, Steps: []ledger.Step{step}}})
+	}
+	jobs := (workers*12 + tasksWaiting) / tasksOfJob
+	for i := range jobs {
+		submit(i)
+	}
+	r.wait(time.Second)
+	b.ResetTimer()
+	for i := range b.N {
+		r.wait(time.Second / startsASec)
+		if i%tasksOfJob == 0 {
+			submit(jobs + i)
+		}
+		id := fmt.Sprintf("w%04d", i%workers)
+		var ended []leader.End
+		if list := r.running[id]; len(list) > 0 {
+			ended, r.running[id] = list[:1], list[1:]
+		}
+		report := leader.Report{Life: 1, Clock: r.now.UnixMilli(), Ended: ended}
+		for _, e := range r.running[id] {
+			report.Running = append(report.Running, leader.Run{Task: e.Task, Number: e.Run, Percent: 50})
+		}
+		r.apply(leader.Reported{Worker: id, Report: report, Sent: r.now})
+	}
+}
+
 const tasksOfJob = 8
 
 func measureStart(b *testing.B, workers int) {
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"time"
+
 	"github.com/endivelock/endivelock/internal/ledger"
 )
 
@@ -66,6 +68,9 @@
 	Workers []string
 }
 
+// Wake asks for Woken after a time.
+type Wake struct{ After time.Duration }
+
 // Note is a decision for the log of the process.
 type Note struct {
 	What   string // a verb: place, stop, end, lost, fail, exclude, ...
@@ -84,4 +89,5 @@
 func (Look) effect()        {}
 func (Acknowledge) effect() {}
 func (Consult) effect()     {}
+func (Wake) effect()        {}
 func (Note) effect()        {}
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -120,6 +120,9 @@
 // Ticked tells that time has passed.
 type Ticked struct{}
 
+// Woken tells that the time of a Wake has passed.
+type Woken struct{}
+
 var (
 	_ Event = Accepted{}
 	_ Event = CancelAccepted{}
@@ -132,4 +135,5 @@
 	_ Event = Advised{}
 	_ Event = CallersChanged{}
 	_ Event = Ticked{}
+	_ Event = Woken{}
 )
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -66,6 +66,7 @@
 					Task: ledger.TaskID{Job: work.Job.ID, Round: round, Step: step, Index: index}, Run: task.Run,
 					Stage: Inherited, Size: work.Job.Steps[step].Room(), Saved: task.Saved, Sent: t.now,
 					Fills: work.Job.Steps[step].Fills, Target: work.Job.Steps[step].Target, Pace: fullPace,
+					Yields: yields(work.Job, step),
 				})
 			}
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -30,6 +30,7 @@
 	Lease     time.Duration // length of the leases: how long a worker keeps tasks without a look
 	Inherited time.Duration // longest time that a former leader renews leases without the log
 	Placer    placer.Placer // chooses among workers; nil means placer.BestFit
+	Pause     time.Duration // least time between two passes of placement, 0 for one after each event
 }
 
 // clockDrift is how much slower than ours a worker's steady clock may run. It
@@ -53,6 +54,9 @@
 	callers container.Table[asker]   // entries that can ask for advice, by name
 	ratios  container.Table[float64] // share of named workers that advice permits, by queue
 	lastAsk int64
+	place   bool      // something may have come free or ready since the last pass
+	passed  time.Time // when the last pass was
+	waking  bool      // a Wake is under way
 }
 
 // dependent is what waits for a batch to be in the log.
@@ -122,6 +126,7 @@
 	Valid    time.Time     // end of the ticket, zero without one
 	Fills    bool          // takes processor time that others leave
 	Target   time.Duration // bound of its response times, 0 for none
+	Yields   bool          // may be stopped for a task of the highest priority
 }
 
 // key names the run at its worker.
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -50,7 +50,7 @@
 // once the troubles end every job does.
 func TestNoStartBreaksARule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 4)
+		w := newWorld(t, 4, rapid.SampledFrom([]time.Duration{0, 30 * time.Millisecond}).Draw(t, "pause"))
 		trouble(t, w)
 		settle(w)
 		for _, id := range w.ids() {
@@ -171,7 +171,7 @@
 // them.
 func TestEndsAreAcknowledgedInTheOrderOfTheirRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 1)
+		w := newWorld(t, 1, 0)
 		j := ledger.Job{ID: "j", Accepted: w.now, Queue: ledger.Queue{Service: "s", Attempts: 2}, Steps: []ledger.Step{{Count: 1, Size: ledger.Size{CPU: 100}}}}
 		w.jobs["j"] = j
 		w.lookAll()
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -15,17 +15,24 @@
 	candidates []placer.Candidate
 	index      map[string]int
 	freeing    []ledger.Size // room at a candidate once its stops are done, less what counts on it
+	yielding   []ledger.Size // room that preemption may add to that
 	services   []string
 	labels     [][]string
-	some       []placer.Candidate // reused between choices
+	some       []*placer.Candidate // reused between choices
+	at         []int               // index of each of them
+	suitable   map[kind][]int      // candidates by the kind of worker that a step needs
+	moved      []ledger.ID         // jobs whose steps have to be ranked again
 }
 
+// kind is what a step asks of a worker beside room.
+type kind struct{ service, label string }
+
 // placeAll places the idle tasks of all waiting steps, the most urgent first.
 func (t *turn) placeAll() {
 	if t.waiting.Len() == 0 && t.ahead.Len() == 0 {
 		return
 	}
-	p := &pass{turn: t, index: make(map[string]int, t.workers.Len())}
+	p := &pass{turn: t, index: make(map[string]int, t.workers.Len()), suitable: map[kind][]int{}}
 	for id, w := range t.workers.All() {
 		if !w.Usable(t.now) {
 			continue
@@ -36,6 +43,7 @@
 			ID: id, Free: free, Room: w.Room, Rack: w.Rack, Doubt: w.Fails, Serving: w.Serving > 0, Filling: w.Filling > 0,
 		})
 		p.freeing = append(p.freeing, free.Plus(w.Ending))
+		p.yielding = append(p.yielding, w.Yielding)
 		p.services = append(p.services, w.Service)
 		p.labels = append(p.labels, w.Labels)
 	}
@@ -44,6 +52,9 @@
 			p.step(r)
 		}
 	}
+	for _, id := range p.moved {
+		p.rank(id)
+	}
 	p.askAhead()
 }
 
@@ -86,15 +97,16 @@
 		p.gang(r, tickets)
 		return
 	}
+	able := p.able(r, tickets)
 	here := p.perWorker(r)
 	for index, task := range r.work.Progress.Step(r.round, r.step) {
 		if task.Phase != ledger.Idle {
 			continue
 		}
 		id := ledger.TaskID{Job: r.work.Job.ID, Round: r.round, Step: r.step, Index: index}
-		i := p.pick(r, task, tickets, here, "")
+		i := p.pick(r, task, able, here, "")
 		if i < 0 {
-			p.preempt(r, tickets, here)
+			p.preempt(r, able, here)
 			return
 		}
 		p.start(r, id, task.Run+1, i, tickets)
@@ -102,6 +114,21 @@
 	}
 }
 
+// able lists the candidates that may run tasks of a step, with room or without.
+func (p *pass) able(r stepRef, tickets map[string]string) []int {
+	if r.work.Job.Queue.Advice == nil {
+		return p.suiting(r)
+	}
+	var able []int
+	for id := range tickets {
+		if i, ok := p.index[id]; ok && p.suits(r, i) {
+			able = append(able, i)
+		}
+	}
+	slices.Sort(able) // the order of a map differs from run to run
+	return able
+}
+
 // state returns the state of a job as it is now.
 func (p *pass) state(id ledger.ID) ledger.State {
 	w, ok := p.works.Get(string(id))
@@ -129,9 +156,25 @@
 	return here
 }
 
+// suiting lists the candidates of a step's service that carry its label.
+func (p *pass) suiting(r stepRef) []int {
+	k := kind{r.work.Job.Queue.Service, r.spec().Label}
+	found, ok := p.suitable[k]
+	if ok {
+		return found
+	}
+	for i := range p.candidates {
+		if p.suits(r, i) {
+			found = append(found, i)
+		}
+	}
+	p.suitable[k] = found
+	return found
+}
+
 // pick returns the candidate for a task, or -1. A task that has failed goes to
 // a worker without failures, other than the last one, if there is one.
-func (p *pass) pick(r stepRef, task ledger.Task, tickets map[string]string, here map[string]int, rack string) int {
+func (p *pass) pick(r stepRef, task ledger.Task, able []int, here map[string]int, rack string) int {
 	spec := r.spec()
 	d := placer.Demand{
 		Size: spec.Room(), Rack: spec.Rack, Urgent: r.work.Job.Queue.Priority == 0,
@@ -144,9 +187,8 @@
 		if careful && task.Fails == 0 {
 			continue
 		}
-		if i := p.choose(d, func(i int) bool {
-			c := &p.candidates[i]
-			return p.allowed(r, i, tickets, here) && (rack == "" || c.Rack == rack) &&
+		if i := p.choose(d, able, func(c *placer.Candidate) bool {
+			return p.below(r, c.ID, here) && (rack == "" || c.Rack == rack) &&
 				(!careful || c.ID != task.Worker && c.Doubt == 0)
 		}); i >= 0 {
 			return i
@@ -155,33 +197,26 @@
 	return -1
 }
 
-// choose lets the placer choose among the candidates that a filter lets pass.
-func (p *pass) choose(d placer.Demand, pass func(i int) bool) int {
-	p.some = p.some[:0]
-	for i, c := range p.candidates {
-		if c.Free.Fits(d.Size) && pass(i) {
-			p.some = append(p.some, c)
+// choose lets the placer choose among those of the candidates that have room
+// and that a filter lets pass.
+func (p *pass) choose(d placer.Demand, able []int, pass func(c *placer.Candidate) bool) int {
+	p.some, p.at = p.some[:0], p.at[:0]
+	for _, i := range able {
+		if c := &p.candidates[i]; c.Free.Fits(d.Size) && pass(c) {
+			p.some, p.at = append(p.some, c), append(p.at, i)
 		}
 	}
 	i := p.policy.Placer.Pick(d, p.some)
 	if i < 0 {
 		return -1
 	}
-	return p.index[p.some[i].ID]
+	return p.at[i]
 }
 
-// allowed reports whether a candidate may run another task of a step.
-func (p *pass) allowed(r stepRef, i int, tickets map[string]string, here map[string]int) bool {
-	id := p.candidates[i].ID
-	if r.work.Job.Queue.Advice != nil {
-		if _, ok := tickets[id]; !ok {
-			return false
-		}
-	}
-	if most := r.spec().Most; most > 0 && here[id] >= most {
-		return false
-	}
-	return p.suits(r, i)
+// below reports whether a worker has fewer tasks of a step than it may have.
+func (p *pass) below(r stepRef, id string, here map[string]int) bool {
+	most := r.spec().Most
+	return most == 0 || here[id] < most
 }
 
 // suits reports whether a candidate is of the step's service and carries its
@@ -206,14 +241,16 @@
 	p.setWork(work.WithProgress(progress))
 	placed := Placement{
 		Task: id, Run: run, Stage: Recording, Size: spec.Room(), Saved: task.Saved, Ticket: tickets[c.ID],
-		Fills: spec.Fills, Target: spec.Target, Pace: fullPace,
+		Fills: spec.Fills, Target: spec.Target, Pace: fullPace, Yields: yields(work.Job, id.Step),
 	}
 	if have, ok := p.permits.Get(r.key); ok && placed.Ticket != "" {
 		placed.Valid = have.until
 	}
 	p.put(w, placed)
 	p.await(p.next(), w.ID, placed.key())
-	p.rank(id.Job)
+	if len(p.moved) == 0 || p.moved[len(p.moved)-1] != id.Job {
+		p.moved = append(p.moved, id.Job)
+	}
 	c.Free = c.Free.Minus(spec.Room())
 	p.freeing[i] = p.freeing[i].Minus(spec.Room())
 	c.Serving = c.Serving || spec.Target > 0
@@ -231,12 +268,13 @@
 		}
 		run = max(run, task.Run)
 	}
+	able := p.able(r, tickets)
 	racks := []string{""}
 	if r.spec().Together {
 		racks = append(p.racks(r.spec().Rack), "")
 	}
 	for _, rack := range racks {
-		chosen := p.seats(r, tasks, tickets, rack)
+		chosen := p.seats(r, tasks, able, rack)
 		if len(chosen) < len(tasks) {
 			continue
 		}
@@ -265,12 +303,12 @@
 
 // seats chooses a candidate for each member of a gang. Room is taken from the
 // candidates while it chooses and given back at the end.
-func (p *pass) seats(r stepRef, tasks []ledger.Task, tickets map[string]string, rack string) []int {
+func (p *pass) seats(r stepRef, tasks []ledger.Task, able []int, rack string) []int {
 	var chosen []int
 	here := p.perWorker(r)
 	size := r.spec().Room()
 	for _, task := range tasks {
-		i := p.pick(r, task, tickets, here, rack)
+		i := p.pick(r, task, able, here, rack)
 		if i < 0 {
 			break
 		}
@@ -286,7 +324,7 @@
 
 // preempt makes room for an urgent step that found none. It stops
 // checkpointed runs of less urgent queues, unless stops under way free enough.
-func (p *pass) preempt(r stepRef, tickets map[string]string, here map[string]int) {
+func (p *pass) preempt(r stepRef, able []int, here map[string]int) {
 	if r.work.Job.Queue.Priority != 0 || r.work.Due.Before(p.now) {
 		return
 	}
@@ -298,10 +336,11 @@
 			missing++
 		}
 	}
-	for i, c := range p.candidates {
-		for missing > 0 && p.allowed(r, i, tickets, here) && p.makeRoom(i, size, r.work.Job.Queue.Priority) {
+	for _, i := range able {
+		id := p.candidates[i].ID
+		for missing > 0 && p.below(r, id, here) && p.makeRoom(i, size) {
 			p.freeing[i] = p.freeing[i].Minus(size)
-			here[c.ID]++
+			here[id]++
 			missing--
 		}
 	}
@@ -309,10 +348,13 @@
 
 // makeRoom sees to it that a candidate will have room for a size, by stops
 // under way or by new ones, and reports whether it will.
-func (p *pass) makeRoom(i int, size ledger.Size, priority int) bool {
+func (p *pass) makeRoom(i int, size ledger.Size) bool {
 	if p.freeing[i].Fits(size) {
 		return true
 	}
+	if !p.freeing[i].Plus(p.yielding[i]).Fits(size) {
+		return false
+	}
 	w, _ := p.workers.Get(p.candidates[i].ID)
 	free := p.freeing[i]
 	var victims []Placement
@@ -320,7 +362,7 @@
 		if free.Fits(size) {
 			break
 		}
-		if p.preemptible(placed, priority) {
+		if placed.Yields && placed.Stage == Working && p.now.Sub(placed.Began) >= minPreempt {
 			victims = append(victims, placed)
 			free = free.Plus(placed.Size)
 		}
@@ -330,6 +372,7 @@
 	}
 	for _, v := range victims {
 		w = p.stop(w, v, "preempted by a more urgent job")
+		p.yielding[i] = p.yielding[i].Minus(v.Size)
 	}
 	p.freeing[i] = free
 	return true
@@ -339,11 +382,9 @@
 // does not only start and stop.
 const minPreempt = time.Second
 
-func (p *pass) preemptible(placed Placement, priority int) bool {
-	work, ok := p.works.Get(string(placed.Task.Job))
-	if !ok || placed.Stage != Working || p.now.Sub(placed.Began) < minPreempt {
-		return false
-	}
-	spec := work.Job.Steps[placed.Task.Step]
-	return spec.Checkpoint && !spec.Lasting && !spec.Gang && work.Job.Queue.Priority > priority
+// yields reports whether tasks of a step may be stopped for urgent ones: they
+// lose nothing that is not saved, and no other task waits for them.
+func yields(j ledger.Job, step int) bool {
+	s := j.Steps[step]
+	return s.Checkpoint && !s.Lasting && !s.Gang && j.Queue.Priority > 0
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -45,6 +45,7 @@
 	Placed    container.Table[Placement]
 	Used      ledger.Size
 	Ending    ledger.Size // part of Used that stops under way will free
+	Yielding  ledger.Size // part of Used that tasks of the highest priority may claim
 	Serving   int         // runs with a response target
 	Filling   int         // filling runs
 	Ends      int64       // number of the last end taken up
@@ -105,8 +106,11 @@
 // withSums returns the worker with a placement counted n times in its sums.
 func (w Worker) withSums(p Placement, n int) Worker {
 	w.Used = w.Used.Plus(p.Size.Times(n))
-	if p.Stage == Stopping || p.Stage == Dropped {
+	switch {
+	case p.Stage == Stopping || p.Stage == Dropped:
 		w.Ending = w.Ending.Plus(p.Size.Times(n))
+	case p.Yields:
+		w.Yielding = w.Yielding.Plus(p.Size.Times(n))
 	}
 	if p.Target > 0 {
 		w.Serving += n
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -111,12 +111,15 @@
 	done    map[string]bool // tasks with an end that was told as done and forgotten by the worker
 	fails   map[string]int  // ends as failed that were forgotten by the worker
 	starts  int
+	pause   time.Duration // between passes of placement
+	waking  bool          // a Wake is under way
 }
 
-func newWorld(t *rapid.T, count int) *world {
+func newWorld(t *rapid.T, count int, pause time.Duration) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), log: map[ledger.ID]ledger.Progress{}, jobs: map[ledger.ID]ledger.Job{},
 		cancels: map[ledger.ID]bool{}, workers: map[string]*worker{}, ended: map[string]bool{}, done: map[string]bool{}, fails: map[string]int{},
+		pause: pause,
 	}
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
@@ -130,7 +133,7 @@
 }
 
 func (w *world) policy() leader.Policy {
-	return leader.Policy{Lease: worldLease, Inherited: 5 * time.Second}
+	return leader.Policy{Lease: worldLease, Inherited: 5 * time.Second, Pause: w.pause}
 }
 
 // names returns the workers in a fixed order.
@@ -158,7 +161,7 @@
 func (w *world) takeover() {
 	w.epoch++
 	w.state = leader.New(w.policy(), w.now)
-	w.records, w.asks, w.acked = nil, nil, map[string]leader.Acknowledge{}
+	w.records, w.asks, w.acked, w.waking = nil, nil, map[string]leader.Acknowledge{}, false
 	for _, id := range w.ids() {
 		e := leader.Accepted{Job: w.jobs[id]}
 		if p, ok := w.log[id]; ok {
@@ -193,6 +196,8 @@
 			w.acked[f.Worker] = f
 		case leader.Consult:
 			w.asks = append(w.asks, f)
+		case leader.Wake:
+			w.waking = true
 		}
 	}
 }
@@ -368,6 +373,10 @@
 			}
 		}
 	}
+	if w.waking {
+		w.waking = false
+		w.apply(leader.Woken{})
+	}
 	w.apply(leader.Ticked{})
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -32,7 +32,7 @@
 // Placer chooses a worker.
 type Placer interface {
 	// Pick returns the index of the chosen candidate, or -1 if none has room.
-	Pick(d Demand, candidates []Candidate) int
+	Pick(d Demand, candidates []*Candidate) int
 }
 
 // FirstFit takes the first worker with room. It is the baseline that other
@@ -40,7 +40,7 @@
 type FirstFit struct{}
 
 // Pick returns the first candidate with room.
-func (FirstFit) Pick(d Demand, candidates []Candidate) int {
+func (FirstFit) Pick(d Demand, candidates []*Candidate) int {
 	for i, c := range candidates {
 		if c.Free.Fits(d.Size) {
 			return i
@@ -60,7 +60,7 @@
 )
 
 // Pick returns the best candidate with room.
-func (BestFit) Pick(d Demand, candidates []Candidate) int {
+func (BestFit) Pick(d Demand, candidates []*Candidate) int {
 	best := -1
 	for i, c := range candidates {
 		if c.Free.Fits(d.Size) && (best < 0 || compare(d, c, candidates[best]) < 0) {
@@ -71,7 +71,7 @@
 }
 
 // compare orders two candidates, the better one first.
-func compare(d Demand, a, b Candidate) int {
+func compare(d Demand, a, b *Candidate) int {
 	if d.Rack != "" && (a.Rack == d.Rack) != (b.Rack == d.Rack) {
 		return prefer(a.Rack == d.Rack)
 	}
@@ -100,7 +100,7 @@
 
 // share returns the share of a worker's room that is left after a task, of
 // processor or memory, whichever is scarcer.
-func share(c Candidate, size ledger.Size) float64 {
+func share(c *Candidate, size ledger.Size) float64 {
 	left := c.Free.Minus(size)
 	return min(part(left.CPU, c.Room.CPU), part(left.Memory, c.Room.Memory))
 }
