Let strong entries claim the lead before weak ones

Cause: on sites whose entries are unlike (0.192 to 0.8 of a core) any entry could come to lead, and a leader of 350 workers needs 0.33 of a core.

Change: entries tell their share of a processor when they link; the leader tells the largest one. An entry with less than 0.6 of that lets a leader be silent for 400 ms longer, and hands the lead over once if it leads while a much stronger one is linked. On sites of like entries nothing changes.

Tests: TestWeakEntriesClaimLater, TestWeakLeadersHandOverOnce.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -57,6 +57,12 @@
 	// link may be cut and the log not.
 	suspectPatience = 700 * time.Millisecond
 	gonePatience    = 350 * time.Millisecond
+	// deference is how much longer weak entries wait before a claim: a strong one
+	// claims and fences in a few appends.
+	deference = 400 * time.Millisecond
+	// settle is how long a weak leader leads at least: its peers need a second or
+	// two to link after a start, and a lead that moves costs a takeover.
+	settle = 3 * time.Second
 	// claimSpread is the range of the random delay before a claim.
 	claimSpread = 150 * time.Millisecond
 	// renewal is how long a leader renews leases after the log last confirmed it.
@@ -132,7 +138,7 @@
 // New returns an entry that is not running yet.
 func New(s loader.Cell, p Ports, logger logrus.FieldLogger) *Entry {
 	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry()}
-	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers}
+	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, Strength: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
 	e.journal = recorder.NewJournal(p.Platform, keeper.Jobs)
 	e.journal.Added, e.journal.Spare = e.added, e.spare
@@ -151,6 +157,9 @@
 		Suspect:  suspectPatience,
 		Gone:     gonePatience,
 		Keep:     2 * e.settings.Keep,
+
+		Deference: deference,
+		Settle:    settle,
 	}
 }
 
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -182,9 +182,34 @@
 	}
 }
 
+func (e LeadHeard) apply(t *turn) {
+	if e.Lead.Epoch <= t.State.lead.Epoch || e.Lead.Name == "" {
+		return
+	}
+	why := "told by " + e.From
+	if t.role == Leading {
+		Deposed{Why: why}.apply(t)
+	}
+	t.State.lead = e.Lead
+	t.linkLost, t.leaderGone, t.leaderOver = false, false, false
+	t.emit(Note{What: "leader", Lead: e.Lead, Why: why})
+}
+
+func (e PeersSeen) apply(t *turn) { t.strongest = e.Strongest }
+
+// handoverPause is the least time between two handovers of a weak leader: the
+// strong entry may be unable to claim, and each handover costs a takeover.
+const handoverPause = 30 * time.Second
+
 func (e Ticked) apply(t *turn) {
 	switch t.role {
 	case Leading:
+		if t.Weak() && t.now.Sub(t.led) >= t.policy.Settle && t.now.Sub(t.handed) >= handoverPause {
+			t.handed = t.now
+			t.emit(Note{What: "hand over", Lead: t.State.lead, Why: "a much stronger entry is linked"})
+			t.resign(true)
+			return
+		}
 		t.expire()
 		t.command(leader.Ticked{})
 	case Following:
@@ -209,6 +234,9 @@
 		return // another entry is about to lead
 	}
 	quiet := t.now.Sub(t.pulse)
+	if t.Weak() {
+		patience += t.policy.Deference
+	}
 	if quiet < patience+t.delay {
 		return
 	}
@@ -264,7 +292,8 @@
 	if t.over() {
 		policy.Inherited = 0 // it renews no leases either
 	}
-	t.role = Leading
+	t.role, t.led = Leading, t.now
+	t.strongest = t.Self.Strength // the entries that link tell theirs
 	t.State.lead = Lead{Epoch: e.Epoch, Name: t.Self.Name, Address: t.Self.Address}
 	t.leader = leader.New(policy, t.now)
 	t.emit(Note{What: "lead", Lead: t.State.lead, Why: "the claim holds"})
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -64,19 +64,6 @@
 	Over  bool // it is known not to lead any more
 }
 
-func (e LeadHeard) apply(t *turn) {
-	if e.Lead.Epoch <= t.State.lead.Epoch || e.Lead.Name == "" {
-		return
-	}
-	why := "told by " + e.From
-	if t.role == Leading {
-		Deposed{Why: why}.apply(t)
-	}
-	t.State.lead = e.Lead
-	t.linkLost, t.leaderGone, t.leaderOver = false, false, false
-	t.emit(Note{What: "leader", Lead: e.Lead, Why: why})
-}
-
 // LinkMade tells that the leader answers.
 type LinkMade struct{ Epoch int64 }
 
@@ -86,6 +73,9 @@
 	From string
 }
 
+// PeersSeen tells how strong the strongest of the linked entries is.
+type PeersSeen struct{ Strongest float64 }
+
 // Written tells that the leader's records up to a batch are in the log.
 type Written struct {
 	Batch   int64
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -18,6 +18,9 @@
 	Name    string
 	Zone    string
 	Address string // where peers reach it
+	// Strength is its share of a processor. A leader needs more of it than the
+	// other entries.
+	Strength float64
 }
 
 // Lead is who leads the cell.
@@ -48,6 +51,10 @@
 	Suspect  time.Duration // the same, if the link to it is broken
 	Gone     time.Duration // the same, if no process answers at its address
 	Keep     time.Duration // how long the state of an ended job can be asked for
+	// Deference is how much longer a weak entry lets a leader be silent, so that a
+	// strong one claims first; a weak leader hands over to a strong entry after
+	// Settle.
+	Deference, Settle time.Duration
 }
 
 // readAge is how old the last read of the runs may be for the silence of the
@@ -78,11 +85,21 @@
 	leaderGone, leaderOver bool
 	delay                  time.Duration // random part of the patience
 	stopping               bool
+	strongest              float64   // strength of the strongest linked entry, as last told
+	led                    time.Time // when this entry took the lead
+	handed                 time.Time // when it last handed the lead to a stronger one
 }
 
 // New returns the state of an entry that knows nothing.
 func New(self Identity, p Policy) State { return State{Self: self, policy: p} }
 
+// weakShare of the strength of the strongest entry makes an entry weak: a lead
+// does not move for less.
+const weakShare = 0.6
+
+// Weak reports whether a much stronger entry could lead.
+func (s State) Weak() bool { return s.Self.Strength < weakShare*s.strongest }
+
 // Role returns what the entry does.
 func (s State) Role() Role { return s.role }
 
--- /dev/null
+++ b/internal/keeper/strength_test.go
@@ -0,0 +1,75 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/keeper"
+)
+
+// An entry with a small share of a processor leaves a silent leader to the
+// strong ones for a time, and claims if none of them does.
+func TestWeakEntriesClaimLater(t *testing.T) {
+	const deference = 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		strongest float64
+		later     time.Duration
+	}{
+		"no stronger one is known": {0, 0},
+		"all are alike":            {0.2, 0},
+		"a little stronger":        {0.3, 0},
+		"much stronger":            {0.8, deference},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newWeakEntry(0.2, deference, time.Second)
+			e.apply(keeper.JobsRead{Next: 0, Whole: true})
+			e.runs(lead(5, "other"))
+			e.apply(keeper.PeersSeen{Strongest: c.strongest})
+			after := e.claims(3 * time.Second)
+			assert.Assert(t, after >= time.Second+c.later && after <= 1200*time.Millisecond+c.later, "claims after %v", after)
+		})
+	}
+}
+
+// A weak leader hands over to a strong entry that has linked, once: if the
+// strong one cannot claim, the weak one leads on.
+func TestWeakLeadersHandOverOnce(t *testing.T) {
+	const settle = 3 * time.Second
+	e := newWeakEntry(0.2, 400*time.Millisecond, settle)
+	e.apply(keeper.JobsRead{Next: 0, Whole: true})
+	e.runs()
+	assert.Assert(t, e.claims(time.Second) > 0)
+	e.apply(keeper.Claimed{Epoch: 7})
+	e.apply(keeper.PeersSeen{Strongest: 0.8})
+	assert.Assert(t, e.resigns(settle-100*time.Millisecond) == 0)
+	assert.Assert(t, e.resigns(time.Second) > 0)
+
+	e.runs(lead(7, ""))
+	assert.Assert(t, e.claims(2*time.Second) > 0, "no strong entry has claimed")
+	e.apply(keeper.Claimed{Epoch: 9})
+	e.apply(keeper.PeersSeen{Strongest: 0.8})
+	assert.Assert(t, e.resigns(10*time.Second) == 0)
+}
+
+func newWeakEntry(strength float64, deference, settle time.Duration) *entry {
+	e := newEntry()
+	self := keeper.Identity{Name: "me", Address: "me:1", Strength: strength}
+	e.state = keeper.New(self, keeper.Policy{Patience: time.Second, Keep: time.Minute, Deference: deference, Settle: settle})
+	return e
+}
+
+// resigns lets time pass and returns after how long the entry gives up the
+// lead, or 0.
+func (e *entry) resigns(limit time.Duration) time.Duration {
+	for d := time.Duration(0); d < limit; d += 50 * time.Millisecond {
+		e.now = e.now.Add(50 * time.Millisecond)
+		for _, effect := range e.apply(keeper.Ticked{Delay: time.Millisecond}) {
+			if _, ok := effect.(keeper.Resign); ok {
+				return d + 50*time.Millisecond
+			}
+		}
+	}
+	return 0
+}
--- a/internal/linker/answer.go
+++ b/internal/linker/answer.go
@@ -55,7 +55,7 @@
 	if l.entries == nil {
 		l.entries = map[string]peer{}
 	}
-	l.entries[m.Name] = peer{rpc, m.Address}
+	l.entries[m.Name] = peer{rpc, m.Address, m.Strength}
 	known := maps.Clone(l.known)
 	if known == nil {
 		known = map[string]string{}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -59,11 +59,14 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Epoch   int64  `json:"epoch"` // with which the other side is thought to lead
+	// Strength is the sender's share of a processor.
+	Strength float64 `json:"strength"`
 }
 
 // pongMessage lists the entries that are linked to the one that answers.
 type pongMessage struct {
-	Peers map[string]string `json:"peers,omitempty"` // addresses by name
+	Peers     map[string]string `json:"peers,omitempty"` // addresses by name
+	Strongest float64           `json:"strongest,omitempty"`
 }
 
 type helloAnswer struct {
@@ -142,8 +145,9 @@
 
 // peer is an entry that is linked to this one.
 type peer struct {
-	rpc     *jsonrpc2.Conn
-	address string
+	rpc      *jsonrpc2.Conn
+	address  string
+	strength float64
 }
 
 // Listen answers other entries until the context ends.
@@ -207,6 +211,7 @@
 	if len(pong.Peers) == 0 {
 		return
 	}
+	l.Sink.Submit(keeper.PeersSeen{Strongest: pong.Strongest})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known = pong.Peers
@@ -221,16 +226,32 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pong := pongMessage{Peers: map[string]string{}}
+	pong := pongMessage{Peers: map[string]string{}, Strongest: l.strongest(s.Self)}
 	for name, p := range l.entries {
 		pong.Peers[name] = p.address
 	}
 	return pong
 }
 
-// tell submits which entries can ask for advice.
+// strongest returns the strength of the strongest of the linked entries and
+// this one. The caller holds the lock.
+func (l *Linker) strongest(self keeper.Identity) float64 {
+	most := self.Strength
+	for _, p := range l.entries {
+		most = max(most, p.strength)
+	}
+	return most
+}
+
+// tell submits which entries are linked: they can ask for advice, or lead.
 func (l *Linker) tell() {
 	s := l.Viewer.Snapshot()
+	l.mu.Lock()
+	strongest := l.strongest(s.Self)
+	l.mu.Unlock()
+	if s.Role() == keeper.Leading {
+		l.Sink.Submit(keeper.PeersSeen{Strongest: strongest})
+	}
 	l.Sink.Submit(keeper.Led{Epoch: s.Lead().Epoch, Event: leader.CallersChanged{Callers: l.Callers()}})
 }
 
@@ -291,7 +312,7 @@
 	self := l.Viewer.Snapshot().Self
 	hello, done := context.WithTimeout(ctx, dialTimeout)
 	var greeting helloAnswer
-	err = rpc.Call(hello, methodHello, helloMessage{self.Name, self.Address, lead.Epoch}, &greeting)
+	err = rpc.Call(hello, methodHello, helloMessage{self.Name, self.Address, lead.Epoch, self.Strength}, &greeting)
 	done()
 	if err != nil || !greeting.Leading {
 		_ = rpc.Close()
