Read the runs up to their end before a job is said not to exist

Change: CatchUp reads the runs after the jobs; a job is dropped only once its end is in the log, so one of the two tells of it. Concurrent calls read one after the other. A leader that reads there that a later one has written gives up.

Test: TestAnEntryBehindWithTheRunsKnowsEndedJobs, fails without the change ("job is not known").

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -129,6 +129,7 @@
 	draining   atomic.Bool
 	ctx        context.Context
 	group      errgroup.Group
+	catching   chan struct{} // holds a token while CatchUp reads
 
 	mu        sync.Mutex
 	command   *command           // while this entry leads
@@ -137,7 +138,7 @@
 
 // New returns an entry that is not running yet.
 func New(s loader.Cell, p Ports, logger logrus.FieldLogger) *Entry {
-	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry()}
+	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catching: make(chan struct{}, 1)}
 	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, Strength: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
 	e.journal = recorder.NewJournal(p.Platform, keeper.Jobs)
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus/hooks/test"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/conductor"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -177,3 +179,38 @@
 	again.completes(t, "across", 10*time.Second)
 	assert.Equal(t, len(c.broken()), 0, "%v", c.broken())
 }
+
+// noLeader stands for a leader that cannot be asked.
+type noLeader struct{}
+
+func (noLeader) JobState(context.Context, ledger.ID) (ledger.State, error) {
+	return "", &classifier.Error{Kind: classifier.Unsent}
+}
+
+// An entry that is behind with the runs, but not with the jobs, has read that an
+// ended job was dropped before it has read that it ended. The job is known all
+// the same.
+func TestAnEntryBehindWithTheRunsKnowsEndedJobs(t *testing.T) {
+	_, _, members := newWorld(t, 2)
+	first := leads(t, members, 5*time.Second)
+	other := members[0]
+	if other == first {
+		other = members[1]
+	}
+	accept(t, first, job("before"))
+	other.completes(t, "before", 5*time.Second)
+	other.port.setBehind("runs")
+	other.Inspector.Leader = noLeader{}
+	accept(t, first, job("ended"))
+	first.completes(t, "ended", 5*time.Second)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		state, known, err := other.Inspector.JobState(context.Background(), "ended")
+		switch {
+		case err != nil || !known:
+			return poll.Error(errors.Newf("job is not known: %v", err))
+		case state == ledger.Complete:
+			return poll.Success()
+		}
+		return poll.Continue("job is %q", state)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+}
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -128,14 +128,32 @@
 	}
 }
 
-// CatchUp returns once the replica has all accepted jobs that were in the log
-// when it was called.
+// CatchUp returns once the replica has all that was in the log about accepted
+// jobs when it was called. An ended job is dropped from the jobs after its end is
+// among the runs, so the runs are read after the jobs. Only one call reads at a
+// time: the next one then has little left to read.
 func (e *Entry) CatchUp(ctx context.Context) error {
-	next, err := e.readJobs(ctx)
+	select {
+	case e.catching <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for others who read the log")
+	}
+	defer func() { <-e.catching }()
+	jobs, err := e.readJobs(ctx)
+	if err != nil {
+		return err
+	}
+	from := e.controller.Snapshot().Offset(keeper.Runs)
+	if from < 0 {
+		return errors.New("runs not read yet")
+	}
+	runs, err := e.readRuns(ctx, from)
 	if err != nil {
 		return err
 	}
-	_, err = e.controller.Await(ctx, func(s keeper.State) bool { return s.Offset(keeper.Jobs) >= next })
+	_, err = e.controller.Await(ctx, func(s keeper.State) bool {
+		return s.Offset(keeper.Jobs) >= jobs && (s.Offset(keeper.Runs) >= runs || s.Role() == keeper.Leading)
+	})
 	return errors.Wrap(err, "read the log up to its end")
 }
 
@@ -164,18 +182,19 @@
 	}
 }
 
-// readRuns reads the stream of runs from an offset up to its end.
-func (e *Entry) readRuns(ctx context.Context, from int64) error {
+// readRuns reads the stream of runs from an offset up to its end and returns
+// that.
+func (e *Entry) readRuns(ctx context.Context, from int64) (int64, error) {
 	b := replicator.Batch{Stream: keeper.Runs, Next: from}
 	for {
 		values, end, err := e.ports.Platform.Read(ctx, keeper.Runs, b.Next, 0)
 		if err != nil {
-			return errors.Wrap(err, "read runs")
+			return 0, errors.Wrap(err, "read runs")
 		}
 		b.Values, b.Next = values, b.Next+int64(len(values))
 		e.controller.Submit(e.runsRead(b))
 		if b.Next >= end || len(values) == 0 {
-			return nil
+			return b.Next, nil
 		}
 	}
 }
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -70,7 +70,7 @@
 		}
 	}
 	raised := time.Now()
-	if err := e.readRuns(e.ctx, position.First); err != nil {
+	if _, err := e.readRuns(e.ctx, position.First); err != nil {
 		e.controller.Submit(keeper.ClaimFailed{Why: err.Error()})
 		return
 	}
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -93,6 +93,21 @@
 	*log
 	mu  sync.Mutex
 	cut bool
+	// behind is a stream whose waiting reads bring nothing, as over a link that
+	// has much to catch up on.
+	behind string
+}
+
+func (p *port) setBehind(stream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behind = stream
+}
+
+func (p *port) isBehind(stream string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.behind == stream
 }
 
 func (p *port) setCut(cut bool) {
@@ -127,6 +142,10 @@
 	if err := p.way(ctx); err != nil {
 		return nil, 0, err
 	}
+	if wait > 0 && p.isBehind(stream) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	return p.log.Read(ctx, stream, from, wait)
 }
 
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -92,6 +92,7 @@
 	t.lastRead = t.now
 	known := t.Offset(Runs)
 	if t.role == Leading {
+		t.overtaken(e.Changes)
 		return // the leader knows what it wrote
 	}
 	if known < 0 {
@@ -107,6 +108,16 @@
 	}
 }
 
+// overtaken gives up the lead if a later leader has written.
+func (t *turn) overtaken(changes []RunChange) {
+	for _, c := range changes {
+		if c.Lead != nil && c.Lead.Epoch > t.State.lead.Epoch {
+			Deposed{Why: "a later leader has written"}.apply(t)
+			return
+		}
+	}
+}
+
 // changeRun takes up one change of the runs. What was written before this
 // entry started is no sign of life.
 func (t *turn) changeRun(c RunChange, old bool) {
