Read the log less often where nothing waits for it

Change: followers read the runs every 400 ms and the jobs every 500 ms, entries that leave the lead to stronger ones every 800 ms; the leader reads the jobs every 50 ms. A claim that finds the log moved on reads what it did not know at once instead of at the next read.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -39,11 +39,17 @@
 	tickPeriod = 100 * time.Millisecond
 	// surveyPeriod is how often a leader logs the state of the cell.
 	surveyPeriod = time.Second
-	// followPause is the time between two reads of an entry that does not lead.
-	followPause = 250 * time.Millisecond
-	// leadPause is the time between two reads of the leader, so that jobs that
-	// come together are read together.
-	leadPause = 5 * time.Millisecond
+	// runsPause and jobsPause are the times between two reads of the streams by an
+	// entry that does not lead. Calls to the log are limited and priced. The runs
+	// show that the leader lives, so their pause is well below its patience.
+	runsPause = 400 * time.Millisecond
+	jobsPause = 500 * time.Millisecond
+	// weakPause is the same for both at an entry that leaves the lead to stronger
+	// ones.
+	weakPause = 800 * time.Millisecond
+	// leadPause is the time between two reads of the jobs by the leader. It writes
+	// most of them itself and need not wait for the log to tell of these.
+	leadPause = 50 * time.Millisecond
 	// listPause is the time between two reads of the list of workers.
 	listPause = 350 * time.Millisecond
 	// readWait is how long a read waits at the log. A connection may go silent
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -67,12 +67,21 @@
 	e.controller.Submit(read)
 }
 
-// pause returns the time between two reads of a stream.
+// pause returns the time between two reads of the jobs.
 func (e *Entry) pause() time.Duration {
 	if e.controller.Snapshot().Role() == keeper.Leading {
 		return leadPause
 	}
-	return followPause
+	return e.followPause(jobsPause)
+}
+
+// followPause returns the time between two reads of an entry that does not
+// lead: that of an entry which may lead next, or a longer one.
+func (e *Entry) followPause(usual time.Duration) time.Duration {
+	if e.controller.Snapshot().Weak() {
+		return weakPause
+	}
+	return usual
 }
 
 func (e *Entry) jobsRead(b replicator.Batch) keeper.JobsRead {
@@ -112,7 +121,7 @@
 	e.following = cancel
 	f := &replicator.Follower{
 		Stream: keeper.Runs, Reader: e.ports.Platform, Logger: e.logger, Wait: readWait, From: -1,
-		Pause: func() time.Duration { return followPause },
+		Pause: func() time.Duration { return e.followPause(runsPause) },
 		Take:  func(b replicator.Batch) { e.controller.Submit(e.runsRead(b)) },
 	}
 	f.Failed = func(error) { e.controller.Submit(keeper.ReadFailed{}) }
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -57,6 +57,9 @@
 		Stream: keeper.Runs, Values: []replicator.Value{encoder.Claiming(e.settings.Name)}, Expected: &at, Timeout: claimTimeout,
 	})
 	if err != nil {
+		if classifier.Is(err, classifier.Moved) {
+			e.catchUpRuns()
+		}
 		e.controller.Submit(keeper.ClaimFailed{Why: err.Error()})
 		return
 	}
@@ -84,6 +87,16 @@
 	e.controller.Submit(keeper.Claimed{Epoch: epoch})
 }
 
+// catchUpRuns reads what a claim did not know of, so that the next one need not
+// wait for the follower's next read.
+func (e *Entry) catchUpRuns() {
+	ctx, cancel := context.WithTimeout(e.ctx, claimTimeout)
+	defer cancel()
+	if _, err := e.readRuns(ctx, e.controller.Snapshot().Offset(keeper.Runs)); err != nil {
+		e.logger.WithError(err).Info("runs not read after a claim that came late")
+	}
+}
+
 // raise sets the epoch of the appends of a leader under one of its names.
 func (e *Entry) raise(writer string, epoch int64) error {
 	var err error
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -27,8 +27,7 @@
 	away    bool    // records wait for the log
 	held    []int64 // batches that wait
 	percent int     // what workers tell of runs
-	slow    bool    // calls for advice wait for answerAll
-	calls   []leader.Consult
+	slow    bool    // calls for advice are not answered
 }
 
 func newBench(t *testing.T, workers int, room ledger.Size) *bench {
@@ -73,11 +72,9 @@
 			}
 		case leader.Consult:
 			b.asked = append(b.asked, f.Workers)
-			if b.slow {
-				b.calls = append(b.calls, f)
-				continue
+			if !b.slow {
+				b.answer(f)
 			}
-			b.answer(f)
 		}
 	}
 }
@@ -92,15 +89,6 @@
 	b.apply(leader.Advised{Ask: c.Ask, Permits: permits})
 }
 
-// answerAll answers the calls for advice that wait.
-func (b *bench) answerAll() {
-	waiting := b.calls
-	b.calls = nil
-	for _, c := range waiting {
-		b.answer(c)
-	}
-}
-
 func (b *bench) pass(d time.Duration) {
 	for end := b.now.Add(d); b.now.Before(end); {
 		b.now = b.now.Add(100 * time.Millisecond)
--- a/internal/leader/speed_test.go
+++ b/internal/leader/speed_test.go
@@ -28,10 +28,9 @@
 func TestUrgentTasksGoWhereRunsAreFast(t *testing.T) {
 	b := newBench(t, 3, ledger.Size{CPU: 8000, Memory: 8000})
 	took := map[string]time.Duration{"w00": time.Second, "w01": 800 * time.Millisecond, "w02": 1200 * time.Millisecond}
-	began := b.now
 	for i := range 4 {
 		b.submit(ledger.ID(fmt.Sprintf("before%d", i)), ledger.Queue{}, ledger.Step{Count: 12, Size: ledger.Size{CPU: 2000}})
-		began = b.now
+		began := b.now
 		for _, id := range []string{"w01", "w00", "w02"} {
 			b.now = began.Add(took[id])
 			var tasks []string
