Have a former leader tell its entries who leads now

A new leader led from 3.96 s; the old one heard of it at 4.08 s from a peer, but told none of the entries that were linked to it and could not read the log either. They went on to give it their jobs and answered 503 ("the log does not answer") at 4.4 to 5.6 s.

Change: a leader that was deposed tells its linked entries, with its successor if it knows it; the answer to a ping names who leads, too.

Test: TestAFormerLeaderTellsWhoLeads, fails without the change in both cases.

--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -167,12 +167,12 @@
 	c.cancel()
 	e.group.Go(func() error {
 		_ = c.group.Wait()
+		bounded, cancel := context.WithTimeout(e.ctx, resignTimeout)
+		defer cancel()
 		if r.Graceful {
-			bounded, cancel := context.WithTimeout(e.ctx, resignTimeout)
-			defer cancel()
 			c.recorder.Resign(bounded)
-			e.linker.Resign(bounded, r.Epoch)
 		}
+		e.linker.Resign(bounded, r.Epoch)
 		e.followRuns()
 		c.commander.Wait()
 		return nil
--- a/internal/linker/answer.go
+++ b/internal/linker/answer.go
@@ -113,7 +113,8 @@
 
 // resignMessage tells that the leader of an epoch has stopped.
 type resignMessage struct {
-	Epoch int64 `json:"epoch"`
+	Epoch int64       `json:"epoch"`
+	Next  keeper.Lead `json:"next"` // who leads now, if that is known
 }
 
 func (l *Linker) hearResign(params json.RawMessage) (any, error) {
@@ -122,17 +123,19 @@
 		return nil, err
 	}
 	l.Sink.Submit(keeper.LinkLost{Epoch: m.Epoch, Over: true})
+	l.hear(m.Next, "the leader before it")
 	return struct{}{}, nil
 }
 
-// Resign tells all linked entries that this one no longer leads. The log tells
-// those that do not hear it.
+// Resign tells all linked entries that this one no longer leads, and who does if
+// it knows. The log tells those that do not hear it.
 func (l *Linker) Resign(ctx context.Context, epoch int64) {
+	resigned := resignMessage{Epoch: epoch, Next: l.Viewer.Snapshot().Lead()}
 	l.mu.Lock()
 	peers := slices.Collect(maps.Values(l.entries))
 	l.mu.Unlock()
 	for _, p := range peers {
-		if err := p.rpc.Notify(ctx, methodResign, resignMessage{epoch}); err != nil {
+		if err := p.rpc.Notify(ctx, methodResign, resigned); err != nil {
 			l.Logger.WithError(err).Debug("entry not told of the resignation")
 		}
 	}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -67,6 +67,7 @@
 type pongMessage struct {
 	Peers     map[string]string `json:"peers,omitempty"` // addresses by name
 	Strongest float64           `json:"strongest,omitempty"`
+	Lead      keeper.Lead       `json:"lead"` // who leads, as the answering entry knows it
 }
 
 type helloAnswer struct {
@@ -208,6 +209,7 @@
 
 // learn keeps the addresses of other entries.
 func (l *Linker) learn(pong pongMessage) {
+	l.hear(pong.Lead, "answer to a ping")
 	if len(pong.Peers) == 0 {
 		return
 	}
@@ -217,16 +219,24 @@
 	l.known = pong.Peers
 }
 
+// hear takes up who leads if it is news. An entry that cannot read the log has
+// no other way to learn it.
+func (l *Linker) hear(lead keeper.Lead, from string) {
+	if lead.Epoch > l.Viewer.Snapshot().Lead().Epoch {
+		l.Sink.Submit(keeper.LeadHeard{Lead: lead, From: from})
+	}
+}
+
 // hearPing tells a linked entry the addresses of the others, so that they find
 // a new leader without the log.
 func (l *Linker) hearPing() pongMessage {
 	s := l.Viewer.Snapshot()
 	if s.Role() != keeper.Leading {
-		return pongMessage{}
+		return pongMessage{Lead: s.Lead()}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pong := pongMessage{Peers: map[string]string{}, Strongest: l.strongest(s.Self)}
+	pong := pongMessage{Peers: map[string]string{}, Strongest: l.strongest(s.Self), Lead: s.Lead()}
 	for name, p := range l.entries {
 		pong.Peers[name] = p.address
 	}
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -154,3 +154,22 @@
 	other.Submit(keeper.LeadHeard{Lead: keeper.Lead{Epoch: 6, Name: "gone", Address: free.Addr().String()}, From: "test"})
 	other.heard(t, "nothing listens", func(e keeper.Event) bool { l, ok := e.(keeper.LinkLost); return ok && l.Gone && !l.Over })
 }
+
+// An entry that cannot read the log stays linked to a leader that was replaced
+// while both were cut off. The former leader tells it who leads now.
+func TestAFormerLeaderTellsWhoLeads(t *testing.T) {
+	for name, resigns := range map[string]bool{"as it resigns": true, "as it is pinged": false} {
+		t.Run(name, func(t *testing.T) {
+			former, next, other := start(t, "former"), start(t, "next"), start(t, "other")
+			former.leads(9)
+			other.Submit(keeper.LeadHeard{Lead: former.Snapshot().Lead(), From: "test"})
+			other.heard(t, "the link is made", func(e keeper.Event) bool { m, ok := e.(keeper.LinkMade); return ok && m.Epoch == 9 })
+			next.leads(12)
+			former.Submit(keeper.LeadHeard{Lead: next.Snapshot().Lead(), From: "test"})
+			if resigns {
+				former.link.Resign(context.Background(), 9)
+			}
+			other.heard(t, "the link to the next leader is made", func(e keeper.Event) bool { m, ok := e.(keeper.LinkMade); return ok && m.Epoch == 12 })
+		})
+	}
+}
