Close only those idle connections that have nothing unread

Shutdown began at 29.2 s and closes an idle connection whatever waits in its socket; the instance has 0.192 of a core, so that a request waits there for a while.

Ruled out: a longer notice alone. It makes the case rarer and restarts slower.

Change: package closer follows the connections of a server. A stopping entry closes its listeners, then closes idle connections that have no bytes waiting until none is open, then shuts down. The servers' end no longer makes the supervisor restart them (it did four times in each stop).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -84,13 +84,6 @@
 	// readyAge is how old the last read of the log may be for an entry that is
 	// ready for requests.
 	readyAge = 2500 * time.Millisecond
-	// notice is how long a stopping entry takes requests after it has said that
-	// it is not ready: the balancer asks once a second and believes the second
-	// answer.
-	notice = 2200 * time.Millisecond
-	// headerTimeout and idleTimeout bound what a client may keep open.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 	// maxExchanges bounds the calls that effects start.
 	maxExchanges = 1024
 )
@@ -257,10 +250,6 @@
 	return l, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
 // service makes a function a service of the supervisor.
 type service struct {
 	name  string
@@ -273,7 +262,7 @@
 // String names the service for the supervisor.
 func (s service) String() string { return s.name }
 
-func (e *Entry) addServices(tree *suture.Supervisor, l listeners) []*http.Server {
+func (e *Entry) addServices(tree *suture.Supervisor, l listeners) []*server {
 	tree.Add(e.timer)
 	tree.Add(e.controller)
 	tree.Add(e.journal)
@@ -286,17 +275,15 @@
 	tree.Add(e.configFollower())
 	tree.Add(e.jobsFollower())
 	e.followRuns()
-	var servers []*http.Server
+	var servers []*server
 	for _, o := range []struct {
 		name     string
 		handler  http.Handler
 		listener net.Listener
 	}{{"callers", e.Callers, l.callers}, {"ready", e.Ready, l.ready}, {"metrics", e.metricsHandler(), l.metrics}} {
-		server := newServer(o.handler)
+		server := newServer(o.handler, o.listener)
 		servers = append(servers, server)
-		tree.Add(service{o.name, func(context.Context) error {
-			return errors.Mark(server.Serve(o.listener), suture.ErrDoNotRestart)
-		}})
+		tree.Add(service{o.name, server.serve})
 	}
 	return servers
 }
@@ -320,21 +307,3 @@
 func (e *Entry) tick() {
 	e.controller.Submit(keeper.Ticked{Delay: time.Duration(rand.Int64N(int64(claimSpread)))})
 }
-
-// drain hands the lead over, lets the balancer notice and finishes requests.
-func (e *Entry) drain(servers []*http.Server) {
-	e.logger.Info("entry stops")
-	e.draining.Store(true)
-	e.controller.Submit(keeper.Stopping{})
-	wait := min(notice, e.settings.Grace/2)
-	timer.Sleep(e.ctx, wait)
-	bounded, cancel := context.WithTimeout(e.ctx, max(e.settings.Grace-wait-time.Second, time.Second))
-	defer cancel()
-	var group errgroup.Group
-	for _, s := range servers {
-		group.Go(func() error { return s.Shutdown(bounded) })
-	}
-	if err := group.Wait(); err != nil {
-		e.logger.WithError(err).Warn("requests were cut off by the stop")
-	}
-}
