Start a gang as a whole or not at all

A start is withheld when its ticket has run out or its worker has left while the record was on its way, and this was decided for each member by itself. Tickets of several calls, which end at different times, made it more likely.

--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -26,6 +26,7 @@
 	records map[ledger.ID]ledger.Progress
 	away    bool    // records wait for the log
 	held    []int64 // batches that wait
+	refuse  string  // a worker that refuses starts
 	percent int     // what workers tell of runs
 	slow    bool    // calls for advice are not answered
 }
@@ -66,6 +67,10 @@
 			b.apply(leader.Committed{Batch: f.Batch})
 		case leader.Order:
 			b.orders = append(b.orders, f)
+			if f.Kind == leader.OrderStart && f.Worker == b.refuse {
+				b.apply(leader.Answered{Worker: f.Worker, Kind: f.Kind, Task: f.Task, Run: f.Run, Outcome: leader.Refused})
+				continue
+			}
 			if f.Kind == leader.OrderStart {
 				b.running[f.Task.String()] = f.Worker
 				b.apply(leader.Answered{Worker: f.Worker, Kind: f.Kind, Task: f.Task, Run: f.Run})
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -261,6 +261,7 @@
 		t.put(w, p)
 	case Unknown:
 		t.stop(w, p, "start was not answered")
+		t.disband(p)
 	default:
 		t.refused(w, p, o)
 	}
@@ -277,7 +278,9 @@
 	case NotNewer, NoRoom:
 		t.emit(Look{Worker: w.ID})
 	case Refused:
-		w = t.exclude(w, "refused a start")
+		t.exclude(w, "refused a start")
 	}
+	t.disband(p)
+	w, _ = t.workers.Get(w.ID) // it may have had other members
 	t.lost(w, p, "worker refused the start")
 }
