--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/conductor"
+	"github.com/endivelock/endivelock/internal/emulator"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/loader"
@@ -30,13 +31,13 @@
 // member is one entry of a cell under test.
 type member struct {
 	*conductor.Entry
-	port *port
+	port *emulator.Way
 	stop context.CancelFunc
 	done chan error
 }
 
 // start runs an entry on the loopback interface.
-func start(t *testing.T, name string, l *log, c *cell) *member {
+func start(t *testing.T, name string, l *emulator.Log, c *emulator.Cell) *member {
 	t.Helper()
 	s := loader.Cell{Name: name, Zone: "z", Lease: 6 * time.Second, Grace: 2 * time.Second, Keep: time.Minute, Share: 1, Memory: 100}
 	for _, place := range []*string{&s.Listen.Callers, &s.Listen.Ready, &s.Listen.Peers, &s.Listen.Metrics} {
@@ -46,7 +47,7 @@
 		assert.NilError(t, free.Close())
 	}
 	logger, _ := test.NewNullLogger()
-	p := &port{log: l}
+	p := &emulator.Way{Log: l}
 	e := conductor.New(s, conductor.Ports{Platform: p, Workers: c}, logger)
 	e.Callers, e.Ready = http.NotFoundHandler(), http.NotFoundHandler()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -63,8 +64,8 @@
 	return m
 }
 
-func newWorld(t *testing.T, entries int) (*log, *cell, []*member) {
-	l, c := newLog(), newCell(200*time.Millisecond)
+func newWorld(t *testing.T, entries int) (*emulator.Log, *emulator.Cell, []*member) {
+	l, c := &emulator.Log{}, &emulator.Cell{Length: 200 * time.Millisecond}
 	for i := range 4 {
 		data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Room: ledger.Size{CPU: 8000, Memory: 8000}, Life: 1})
 		assert.NilError(t, err)
@@ -128,7 +129,7 @@
 	accept(t, members[0], job("before"))
 	members[1].completes(t, "before", 5*time.Second)
 	accept(t, members[1], job("across"))
-	first.port.setCut(true)
+	first.port.SetCut(true)
 	var others []*member
 	for _, m := range members {
 		if m != first {
@@ -145,9 +146,9 @@
 		}
 		return poll.Continue("the first leader does not know that it was replaced")
 	}, poll.WithTimeout(10*time.Second))
-	first.port.setCut(false)
+	first.port.SetCut(false)
 	first.completes(t, "after", 5*time.Second)
-	assert.Equal(t, len(c.broken()), 0, "%v", c.broken())
+	assert.Equal(t, len(c.Faults()), 0, "%v", c.Faults())
 }
 
 // A leader that is asked to stop hands over at once.
@@ -163,7 +164,7 @@
 	leads(t, []*member{other}, time.Second)
 	other.completes(t, "across", 5*time.Second)
 	assert.NilError(t, <-first.done)
-	assert.Equal(t, len(c.broken()), 0, "%v", c.broken())
+	assert.Equal(t, len(c.Faults()), 0, "%v", c.Faults())
 }
 
 // After all entries are gone, new ones take up what the log has.
@@ -177,7 +178,7 @@
 	}
 	again := start(t, "new", l, c)
 	again.completes(t, "across", 10*time.Second)
-	assert.Equal(t, len(c.broken()), 0, "%v", c.broken())
+	assert.Equal(t, len(c.Faults()), 0, "%v", c.Faults())
 }
 
 // noLeader stands for a leader that cannot be asked.
@@ -199,7 +200,7 @@
 	}
 	accept(t, first, job("before"))
 	other.completes(t, "before", 5*time.Second)
-	other.port.setBehind("runs")
+	other.port.SetBehind("runs")
 	other.Inspector.Leader = noLeader{}
 	accept(t, first, job("ended"))
 	first.completes(t, "ended", 5*time.Second)
