Show jobs in the demo

Test: TestJobsOutliveTheirLeader. Stand-ins as separate processes with faults by flag are still missing.

--- a/cmd/endivelock/demo.go
+++ b/cmd/endivelock/demo.go
@@ -13,6 +13,7 @@
 
 type demoCommand struct {
 	Duration time.Duration `arg:"--duration" default:"10s" help:"how long work is sent"`
+	Jobs     bool          `arg:"--jobs" help:"show jobs on a cell of workers, as on the users' platform"`
 	JSON     bool          `arg:"--json" help:"print JSON in place of a table"`
 	Verbose  bool          `arg:"--verbose" help:"print the entries' logs"`
 }
@@ -21,6 +22,9 @@
 	if c.Duration < time.Second {
 		return usageError{errors.Newf("duration is %v, allowed is at least 1s", c.Duration)}
 	}
+	if c.Jobs {
+		return c.runJobs(ctx)
+	}
 	demo := demonstrator.Demo{Duration: c.Duration, Progress: func(text string) { progress("%s", text) }}
 	if c.Verbose {
 		demo.Logger = logrus.New()
@@ -39,6 +43,30 @@
 	return nil
 }
 
+// runJobs shows jobs whose leader is cut off the log.
+func (c *demoCommand) runJobs(ctx context.Context) error {
+	demo := demonstrator.Jobs{Duration: c.Duration}
+	if c.Verbose {
+		demo.Logger = logrus.New()
+	}
+	r, err := demo.Run(ctx)
+	if err != nil {
+		return err
+	}
+	err = target{JSON: c.JSON}.print(r, "MEASURE\tVALUE", func(w io.Writer) {
+		row(w, "accepted", r.Accepted)
+		row(w, "complete", r.Complete)
+		row(w, "unknown", r.Unknown)
+		row(w, "takeover ms", r.Takeover)
+		row(w, "lost", r.Lost())
+		row(w, "broken rules", len(r.Faults))
+	})
+	if err == nil && (r.Lost() > 0 || len(r.Faults) > 0) {
+		err = errors.Newf("%d jobs were lost, %d starts broke a rule", r.Lost(), len(r.Faults))
+	}
+	return err
+}
+
 func (c *demoCommand) print(r demonstrator.Result) error {
 	return target{JSON: c.JSON}.print(r, "MEASURE\tVALUE", func(w io.Writer) {
 		row(w, "placed", r.Placed)
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -69,7 +69,7 @@
 	for i := range 4 {
 		data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Room: ledger.Size{CPU: 8000, Memory: 8000}, Life: 1})
 		assert.NilError(t, err)
-		_, err = l.Append(context.Background(), replicator.Append{Stream: "workers", Values: []replicator.Value{{Name: fmt.Sprintf("w%d", i), Data: data}}})
+		_, err = l.Append(context.Background(), replicator.Append{Stream: emulator.Workers, Values: []replicator.Value{{Name: fmt.Sprintf("w%d", i), Data: data}}})
 		assert.NilError(t, err)
 	}
 	var members []*member
--- /dev/null
+++ b/internal/demonstrator/jobs_test.go
@@ -0,0 +1,22 @@
+package demonstrator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/demonstrator"
+)
+
+// Jobs of a cell whose leader is cut off the log all complete, and no start
+// breaks a rule.
+func TestJobsOutliveTheirLeader(t *testing.T) {
+	demo := demonstrator.Jobs{Duration: 4 * time.Second}
+	r, err := demo.Run(context.Background())
+	assert.NilError(t, err)
+	assert.Assert(t, r.Accepted > 0)
+	assert.Equal(t, r.Lost(), 0)
+	assert.Equal(t, len(r.Faults), 0, "%v", r.Faults)
+}
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -12,6 +12,9 @@
 	"github.com/endivelock/endivelock/internal/router"
 )
 
+// Workers is the stream that lists the workers.
+const Workers = "workers"
+
 // Log is a stand-in of the platform's log in memory. The zero value is empty.
 type Log struct {
 	mu      sync.Mutex
@@ -190,4 +193,4 @@
 func (w *Way) ConfigName() (string, string) { return "op", "config" }
 
 // WorkerStream returns the stream that lists the workers.
-func (w *Way) WorkerStream() string { return "workers" }
+func (w *Way) WorkerStream() string { return Workers }
