Write by way of other entries while the log turns the leader away

Ruled out: a quicker claim. The patience with a silent leader covers an append that takes two more tries; a shorter one makes false claims on a slow log.

Change: package relayer sends an append that the log did not take to up to three linked entries, which append it under the leader's name, epoch and sequence number; for a second after that all appends go that way. An append without a sequence number goes to others only if it is known to have done nothing. A leader that was replaced is fenced there as well. An entry that wrote a job by itself tells the leader, which may be unable to read it.

Tests: relayer_test (own and other ways in a table), TestALeaderCutOffTheLogWritesByWayOfOthers. TestTakeoverOfALeaderCutOffTheLog cut the leader off the log alone, which needs no takeover any more; it now has the log ignore the leader's epoch whichever entry sends it, and asserts the same. The demo of jobs does the same.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/endivelock/endivelock/internal/commands/adviser"
 	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
+	"github.com/endivelock/endivelock/internal/commands/relayer"
 	"github.com/endivelock/endivelock/internal/controller"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
@@ -122,6 +123,7 @@
 	controller *controller.Controller[keeper.State, keeper.Event, keeper.Effect]
 	timer      *timer.Timer
 	linker     *linker.Linker
+	relayer    *relayer.Relayer
 	journal    *recorder.Journal
 	adviser    *adviser.Adviser
 	config     atomic.Pointer[router.Config]
@@ -140,10 +142,13 @@
 	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catching: make(chan struct{}, 1)}
 	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, Strength: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
-	e.journal = recorder.NewJournal(p.Platform, keeper.Jobs)
+	e.relayer = &relayer.Relayer{Own: p.Platform, Logger: logger}
+	e.journal = recorder.NewJournal(e.relayer, keeper.Jobs)
 	e.journal.Added, e.journal.Spare = e.added, e.spare
 	e.adviser = adviser.New(p.Advice)
-	e.linker = &linker.Linker{Viewer: e.controller, Sink: e.controller, Journal: e.journal, Adviser: e.adviser, Logger: logger}
+	e.linker = &linker.Linker{Viewer: e.controller, Sink: e.controller, Journal: e.journal, Adviser: e.adviser, Log: p.Platform, Logger: logger}
+	e.linker.Told = func(values []replicator.Value) { e.learned(values, false) }
+	e.relayer.Others = e.linker
 	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Logger: logger}
 	e.Inspector = &inspector.Inspector{Viewer: e.controller, Leader: e.linker, Catcher: e}
 	e.measure()
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus/hooks/test"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -121,15 +122,43 @@
 	return found
 }
 
-// A leader that the log turns away is replaced, its jobs go on where they were,
-// and nothing starts twice. It learns of its successor and follows it.
-func TestTakeoverOfALeaderCutOffTheLog(t *testing.T) {
+// epoch returns the epoch that an entry knows of.
+func (m *member) epoch(t *testing.T) int64 {
+	t.Helper()
+	gauge, ok := m.Registry.Get("lead.epoch").(metrics.Gauge)
+	assert.Assert(t, ok, "entry has no gauge of its epoch")
+	return gauge.Value()
+}
+
+// A leader that the log turns away goes on by way of the entries that are linked
+// to it: none of its jobs waits for a takeover.
+func TestALeaderCutOffTheLogWritesByWayOfOthers(t *testing.T) {
 	_, c, members := newWorld(t, 3)
 	first := leads(t, members, 5*time.Second)
 	accept(t, members[0], job("before"))
 	members[1].completes(t, "before", 5*time.Second)
 	accept(t, members[1], job("across"))
 	first.port.SetCut(true)
+	accept(t, members[2], job("after"))
+	for _, id := range []ledger.ID{"across", "after"} {
+		members[0].completes(t, id, takeoverTime)
+		members[1].completes(t, id, takeoverTime)
+	}
+	assert.Assert(t, first.Leading())
+	assert.Equal(t, len(c.Faults()), 0, "%v", c.Faults())
+}
+
+// A leader that neither the log nor another entry answers is replaced, its jobs
+// go on where they were, and nothing starts twice. It learns of its successor and
+// follows it.
+func TestTakeoverOfALeaderCutOffTheLog(t *testing.T) {
+	l, c, members := newWorld(t, 3)
+	first := leads(t, members, 5*time.Second)
+	accept(t, members[0], job("before"))
+	members[1].completes(t, "before", 5*time.Second)
+	accept(t, members[1], job("across"))
+	first.port.SetCut(true)
+	l.Ignore(first.epoch(t))
 	var others []*member
 	for _, m := range members {
 		if m != first {
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -55,9 +55,22 @@
 	}
 }
 
-// added tells the control thread of jobs that this entry has written, so that a
-// leader need not wait until it reads them.
+// added tells the control thread of jobs that this entry has written, and the
+// leader, which need not wait until it reads them, or could not.
 func (e *Entry) added(values []replicator.Value, spared bool) {
+	if e.controller.Snapshot().Role() != keeper.Leading {
+		e.group.Go(func() error {
+			if err := e.linker.Tell(e.ctx, values); err != nil {
+				e.logger.WithError(err).Debug("leader not told of jobs, it reads them")
+			}
+			return nil
+		})
+	}
+	e.learned(values, spared)
+}
+
+// learned tells the control thread of jobs that are in the log.
+func (e *Entry) learned(values []replicator.Value, spared bool) {
 	read := e.jobsRead(replicator.Batch{Values: values, Next: -1})
 	for i := range read.Changes {
 		if read.Changes[i].Spared = spared; spared {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -119,7 +119,7 @@
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.Lead{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
 	c := &command{epoch: epoch, cancel: cancel, listed: map[string]leader.Listing{}}
-	c.recorder = &recorder.Recorder{Log: e.ports.Platform, Sink: e.controller, Logger: logger, Lead: lead, Appends: e.timerOf("append.runs")}
+	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, Appends: e.timerOf("append.runs")}
 	c.commander = &commander.Commander{
 		Workers: e.ports.Workers, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: min(e.settings.Lease, longestLease), Renewal: renewal,
 		Confirm: c.recorder.Confirmed, Looks: e.timerOf("worker.looks"), Orders: e.timerOf("worker.orders"),
--- a/internal/demonstrator/jobs.go
+++ b/internal/demonstrator/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -48,7 +49,8 @@
 func (r JobsResult) Lost() int { return r.Accepted - r.Complete }
 
 // Jobs runs entries that schedule jobs of two steps on a cell of workers, over
-// stand-ins of the log and the workers, and cuts the leader off the log halfway.
+// stand-ins of the log and the workers, and cuts the leader off the log halfway, with
+// all entries that it is linked to.
 type Jobs struct {
 	Duration time.Duration
 	Logger   logrus.FieldLogger
@@ -208,6 +210,9 @@
 	}
 	began := time.Now()
 	former.way.SetCut(true)
+	if gauge, ok := former.Registry.Get("lead.epoch").(metrics.Gauge); ok {
+		d.log.Ignore(gauge.Value()) // by way of other entries, too
+	}
 	_, err = d.leader(ctx, former)
 	return time.Since(began), former, err
 }
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -22,6 +22,7 @@
 	streams map[string][]replicator.Value
 	epochs  map[string]int64
 	next    map[string]int64
+	ignored int64 // epoch of the appends that get no answer, 0 for none
 }
 
 var _ replicator.Log = (*Log)(nil)
@@ -34,11 +35,22 @@
 	}
 }
 
+// Ignore has the log leave appends of a leader without an answer, whichever entry
+// sends them, as if the leader was cut off with all that it is linked to.
+func (l *Log) Ignore(epoch int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ignored = epoch
+}
+
 // Append adds values to a stream, under the conditions that the append names.
 func (l *Log) Append(_ context.Context, a replicator.Append) (replicator.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prepare()
+	if a.Writer != "" && a.Epoch == l.ignored {
+		return replicator.Position{}, &classifier.Error{Kind: classifier.Unanswered}
+	}
 	end := int64(len(l.streams[a.Stream]))
 	if a.Expected != nil && *a.Expected != end {
 		return replicator.Position{}, &classifier.Error{Kind: classifier.Moved, Number: end}
--- a/internal/linker/answer.go
+++ b/internal/linker/answer.go
@@ -31,6 +31,10 @@
 		return l.hearWrite(ctx, *r.Params)
 	case methodAdvise:
 		return l.hearAdvise(ctx, *r.Params)
+	case methodAppend:
+		return l.hearAppend(ctx, *r.Params)
+	case methodTell:
+		return l.hearTell(*r.Params)
 	case methodResign:
 		return l.hearResign(*r.Params)
 	}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -53,6 +53,8 @@
 	methodAdvise = "advise"
 	methodResign = "resign"
 	methodLead   = "lead"
+	methodAppend = "append"
+	methodTell   = "tell"
 )
 
 type helloMessage struct {
@@ -136,11 +138,14 @@
 	Sink    Sink
 	Journal Journal
 	Adviser Adviser
+	Log     Appender                        // the own way to the log
+	Told    func(values []replicator.Value) // gets what another entry added to the stream of jobs
 	Logger  logrus.FieldLogger
 
 	mu      sync.Mutex
 	entries map[string]peer   // linked to this entry, by name
 	leader  *jsonrpc2.Conn    // of this entry to the leader
+	carrier string            // entry that last appended for this one
 	known   map[string]string // addresses of entries, as the last leader told them
 }
 
