Read as a newcomer: gangs, tickets and the choice of named workers in files of their own

internal/leader/advice.go had grown to 476 lines and place.go to 402. Tests of internal/leader and internal/conductor pass.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,6 +123,11 @@
 	return found
 }
 
+// without returns the entries but one.
+func without(members []*member, one *member) []*member {
+	return slices.DeleteFunc(slices.Clone(members), func(m *member) bool { return m == one })
+}
+
 // epoch returns the epoch that an entry knows of.
 func (m *member) epoch(t *testing.T) int64 {
 	t.Helper()
@@ -159,12 +165,7 @@
 	accept(t, members[1], job("across"))
 	first.port.SetCut(true)
 	l.Ignore(first.epoch(t))
-	var others []*member
-	for _, m := range members {
-		if m != first {
-			others = append(others, m)
-		}
-	}
+	others := without(members, first)
 	leads(t, others, takeoverTime)
 	accept(t, others[0], job("after"))
 	others[1].completes(t, "after", takeoverTime+2*time.Second)
@@ -184,10 +185,7 @@
 func TestHandoverOfAStoppingLeader(t *testing.T) {
 	_, c, members := newWorld(t, 2)
 	first := leads(t, members, 5*time.Second)
-	other := members[0]
-	if other == first {
-		other = members[1]
-	}
+	other := without(members, first)[0]
 	accept(t, other, job("across"))
 	first.stop()
 	leads(t, []*member{other}, time.Second)
@@ -223,10 +221,7 @@
 func TestAnEntryBehindWithTheRunsKnowsEndedJobs(t *testing.T) {
 	_, _, members := newWorld(t, 2)
 	first := leads(t, members, 5*time.Second)
-	other := members[0]
-	if other == first {
-		other = members[1]
-	}
+	other := without(members, first)[0]
 	accept(t, first, job("before"))
 	other.completes(t, "before", 5*time.Second)
 	other.port.SetBehind("runs")
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -1,14 +1,11 @@
 package leader
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/endivelock/endivelock/internal/ledger"
-	"github.com/endivelock/endivelock/internal/placer"
 )
 
 const (
@@ -62,59 +59,6 @@
 	named  []string
 }
 
-// ticket allows a worker to run tasks of a step.
-type ticket struct {
-	value string
-	until time.Time // it is not used after this
-}
-
-// tickets are the tickets of a step by worker. They are never changed once they
-// are stored.
-type tickets map[string]ticket
-
-// permits are what advice has told of one step.
-type permits struct {
-	tickets tickets
-	until   time.Time // end of the last ticket
-	good    []string  // workers that were permitted, which does not change
-	bad     []string  // workers that were not, which does not change either
-	asking  bool
-	again   time.Time // another call does not help before then
-}
-
-// without returns the permits less the ticket of a worker.
-func (p permits) without(worker string) permits {
-	p.tickets = maps.Clone(p.tickets)
-	delete(p.tickets, worker)
-	return p
-}
-
-// with returns the permits with an answer taken up that names those of the
-// workers asked about that may run the step. Tickets of earlier answers hold on.
-func (p permits) with(named []string, answer []Permit, now, until time.Time) permits {
-	held := make(tickets, len(p.tickets)+len(answer))
-	for id, t := range p.tickets {
-		if now.Before(t.until) {
-			held[id] = t
-		}
-	}
-	permitted := make(map[string]bool, len(answer))
-	for _, a := range answer {
-		held[a.Worker] = ticket{a.Ticket, until}
-		permitted[a.Worker] = true
-	}
-	p.tickets, p.until = held, until
-	for _, id := range named {
-		switch {
-		case permitted[id] && !slices.Contains(p.good, id):
-			p.good = append(p.good[:len(p.good):len(p.good)], id)
-		case !permitted[id]:
-			p.bad = append(p.bad[:len(p.bad):len(p.bad)], id)
-		}
-	}
-	return p
-}
-
 // permitted returns the tickets that hold for a step, and whether the step may
 // be placed now. If they are not enough it sees to a call for advice.
 func (p *pass) permitted(r stepRef) (tickets, bool) {
@@ -210,138 +154,6 @@
 	return "", false
 }
 
-// option is a worker that a call may name.
-type option struct {
-	id    string
-	known bool // to be permitted
-	seats int  // tasks of the step that fit
-	free  int64
-	speed int // tenths of slowness, counted for urgent steps only
-	calls int // under way that name it
-}
-
-// calls returns how many calls under way name a worker. What they count on may
-// be taken when another call is answered.
-func (p *pass) calls(worker string) int {
-	if p.naming == nil {
-		p.naming = map[string]int{}
-		for _, a := range p.asks.All() {
-			for _, id := range a.named {
-				p.naming[id]++
-			}
-		}
-	}
-	return p.naming[worker]
-}
-
-// idleTasks returns how many tasks of a step wait.
-func (p *pass) idleTasks(r stepRef) int {
-	idle := 0
-	for _, task := range r.work.Progress.Step(r.round, r.step) {
-		if task.Phase == ledger.Idle {
-			idle++
-		}
-	}
-	return idle
-}
-
-// nominate chooses the workers that a call names among those with room: those
-// known to be permitted, then those that fewer calls under way name, then those
-// with most room, until there is room enough for the step, given the share that
-// advice lets pass. Without any room no call helps.
-func (p *pass) nominate(r stepRef, have permits) []option {
-	ratio, ok := p.ratios.Get(r.work.Job.Queue.Name)
-	if !ok {
-		ratio = firstRatio
-	}
-	idle := p.idleTasks(r)
-	options := p.options(r, have, idle)
-	named, found, unknown := 0, p.seatsHeld(r, have, idle), 0
-	for _, o := range options {
-		enough := found >= seatMargin*float64(idle) && (unknown == 0 || unknown >= minNamed)
-		if enough || named >= maxNamed {
-			break
-		}
-		named++
-		if o.known {
-			found += seatMargin * float64(o.seats)
-			continue
-		}
-		unknown++
-		found += ratio * float64(o.seats)
-	}
-	return options[:named]
-}
-
-// freshTicket is the share of its time that a ticket still has to hold for its
-// worker not to be named again.
-const freshTicket = 0.5
-
-// fresh reports whether a worker has a ticket that holds for some time yet.
-func (p *pass) fresh(r stepRef, have permits, id string) bool {
-	t, ok := have.tickets[id]
-	left := time.Duration(freshTicket * float64(r.work.Job.Queue.Advice.Valid))
-	return ok && t.until.Sub(p.now) > left
-}
-
-// seatsHeld returns how much of the room that a call looks for is at workers
-// with fresh tickets.
-func (p *pass) seatsHeld(r stepRef, have permits, idle int) float64 {
-	seats := 0
-	here := p.perWorker(r)
-	for id := range have.tickets {
-		if i, ok := p.index[id]; ok && p.fresh(r, have, id) {
-			seats += p.seatsAt(r, p.candidates[i].Free, r.spec().Room(), here[id], idle)
-		}
-	}
-	return seatMargin * float64(seats)
-}
-
-// options lists the workers with room that a call may name, the best first.
-func (p *pass) options(r stepRef, have permits, idle int) []option {
-	size := r.spec().Room()
-	var options []option
-	here := p.perWorker(r)
-	for i, c := range p.candidates {
-		if !p.suits(r, i) || slices.Contains(have.bad, c.ID) || p.fresh(r, have, c.ID) {
-			continue
-		}
-		seats := p.seatsAt(r, c.Free, size, here[c.ID], idle)
-		if seats == 0 {
-			continue
-		}
-		o := option{id: c.ID, known: slices.Contains(have.good, c.ID), seats: seats, free: c.Free.CPU, calls: p.calls(c.ID)}
-		if r.work.Job.Queue.Priority == 0 {
-			o.speed = placer.Tenths(c.Slowness)
-		}
-		options = append(options, o)
-	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		if a.known != b.known {
-			return prefer(a.known)
-		}
-		return cmp.Or(cmp.Compare(a.calls, b.calls), cmp.Compare(a.speed, b.speed), cmp.Compare(b.seats, a.seats), cmp.Compare(b.free, a.free))
-	})
-	return options
-}
-
-// prefer returns the order of two options of which one is better.
-func prefer(first bool) int {
-	if first {
-		return -1
-	}
-	return 1
-}
-
-// seatsIn returns how many tasks of a size fit, at most a limit.
-func seatsIn(free, size ledger.Size, limit int) int {
-	n := 0
-	for n < limit && free.Fits(size.Times(n+1)) {
-		n++
-	}
-	return n
-}
-
 // askAhead asks for advice on steps that become ready about when the answer is
 // there.
 func (p *pass) askAhead() {
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"iter"
 	"slices"
 	"strconv"
 	"time"
@@ -264,57 +263,6 @@
 	return ""
 }
 
-// incomplete says why the other members of a gang will not all start, or
-// nothing. One that starts without them waits in vain.
-func (t *turn) incomplete(work Work, p Placement) string {
-	for other, w := range t.members(work, p) {
-		if other.Run == 0 {
-			return "a member of its gang is not placed any more"
-		}
-		if other.Stage == Recording {
-			if why := t.unfit(w, other); why != "" {
-				return "a member of its gang can't start: " + why
-			}
-		}
-	}
-	return ""
-}
-
-// members iterates over the other members of a gang's run and their workers. One
-// that has no placement is the zero value.
-func (t *turn) members(work Work, p Placement) iter.Seq2[Placement, Worker] {
-	return func(yield func(Placement, Worker) bool) {
-		for index, task := range work.Progress.Step(p.Task.Round, p.Task.Step) {
-			if index == p.Task.Index {
-				continue
-			}
-			id := p.Task
-			id.Index = index
-			w, _ := t.workers.Get(task.Worker)
-			other, ok := w.Placed.Get(runKey(id.String(), p.Run))
-			if !ok {
-				other = Placement{}
-			}
-			if !yield(other, w) {
-				return
-			}
-		}
-	}
-}
-
-// disband stops the other members of a gang whose member was not started.
-func (t *turn) disband(p Placement) {
-	work, ok := t.works.Get(string(p.Task.Job))
-	if !ok || !work.Progress.Holds(p.Task) || !work.Job.Steps[p.Task.Step].Gang {
-		return
-	}
-	for other, w := range t.members(work, p) {
-		if other.Run > 0 {
-			t.stop(w, other, "a member of its gang did not start")
-		}
-	}
-}
-
 // stop orders the end of a run, or forgets one that was not ordered yet.
 func (t *turn) stop(w Worker, p Placement, why string) Worker {
 	switch p.Stage {
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -14,16 +14,6 @@
 	return ledger.Step{Count: n, Gang: true, Size: ledger.Size{CPU: 1000}}
 }
 
-func (b *bench) starts() int {
-	n := 0
-	for _, o := range b.orders {
-		if o.Kind == leader.OrderStart {
-			n++
-		}
-	}
-	return n
-}
-
 // The log held up the records of a gang, and one of its workers fell silent
 // meanwhile. No member starts: the others would wait for it in vain.
 func TestNoMemberOfAGangStartsWithoutTheOthers(t *testing.T) {
@@ -35,10 +25,10 @@
 	for _, batch := range b.held {
 		b.apply(leader.Committed{Batch: batch})
 	}
-	assert.Equal(t, b.starts(), 0)
+	assert.Equal(t, b.ordered(leader.OrderStart), 0)
 	b.report("w02")
 	b.pass(time.Second)
-	assert.Equal(t, b.starts(), 3, "it starts as a whole once its worker answers")
+	assert.Equal(t, b.ordered(leader.OrderStart), 3, "it starts as a whole once its worker answers")
 }
 
 // A worker refuses the start of a member. The others are stopped at once.
@@ -46,5 +36,5 @@
 	b := newBench(t, 3, ledger.Size{CPU: 1000, Memory: 8000})
 	b.refuse = "w01"
 	b.submit("j", ledger.Queue{}, gangOf(3))
-	assert.Equal(t, b.stops(), 2)
+	assert.Equal(t, b.ordered(leader.OrderStop), 2)
 }
--- a/internal/leader/speed_test.go
+++ b/internal/leader/speed_test.go
@@ -58,15 +58,16 @@
 	b.pass(2 * time.Second)
 	b.submit("urgent", ledger.Queue{Objective: time.Minute}, ledger.Step{Count: 1, Size: ledger.Size{CPU: 1000}})
 	b.pass(100 * time.Millisecond)
-	assert.Equal(t, b.stops(), 0)
+	assert.Equal(t, b.ordered(leader.OrderStop), 0)
 	b.pass(300 * time.Millisecond)
-	assert.Equal(t, b.stops(), 1)
+	assert.Equal(t, b.ordered(leader.OrderStop), 1)
 }
 
-func (b *bench) stops() int {
+// ordered counts the orders of a kind.
+func (b *bench) ordered(kind leader.OrderKind) int {
 	n := 0
 	for _, o := range b.orders {
-		if o.Kind == leader.OrderStop {
+		if o.Kind == kind {
 			n++
 		}
 	}
@@ -100,7 +101,7 @@
 			b.now = b.now.Add(200 * time.Millisecond)
 			b.percent = c.percent
 			b.report(b.running[last])
-			assert.Equal(t, b.stops() == 1, c.moved)
+			assert.Equal(t, b.ordered(leader.OrderStop) == 1, c.moved)
 		})
 	}
 }
