--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
@@ -64,3 +65,25 @@
 	cancel()
 	_ = group.Wait()
 }
+
+// BenchmarkDecision measures what a line about a decision costs the process, as
+// an entry writes it.
+func BenchmarkDecision(b *testing.B) {
+	o := &output{gate: make(chan struct{})}
+	close(o.gate)
+	s := spooler.New(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(ctx) })
+	logger := logrus.New()
+	logger.SetOutput(s)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	entry := logger.WithField("entry", "front-muc-nord-1")
+	for b.Loop() {
+		entry.WithFields(logrus.Fields{
+			"what": "place", "epoch": 436, "job": "425396a17fead327", "task": "425396a17fead327.0.1.0", "run": 2, "worker": "i-e2cf714413", "batch": 881,
+		}).Info("decision")
+	}
+	cancel()
+	_ = group.Wait()
+}
