Keep the ports of a demo to itself; say why an entry of it ended

Of eight started at once one failed the same way; its log lacks the line "entry started" of one entry. Once the demo told the error of an entry that ends, it read "listen tcp 127.0.0.1:30616: bind: address already in use": a port that was found free was taken before the entry listened there, by an outgoing connection or another demo. The error itself was kept by the group of goroutines until the end.

Ruled out: slow start under load alone; the other entries were up in the same second.

Change: a demo reserves a block of ports below those for outgoing connections by a listener at its first one. prepare returns the error of an entry that ended.

--- a/internal/demonstrator/cell.go
+++ b/internal/demonstrator/cell.go
@@ -71,6 +71,8 @@
 	group    errgroup.Group
 	cancel   context.CancelFunc
 	address  string
+	ports    ports
+	failed   atomic.Pointer[error] // of an entry that ended by itself
 }
 
 func startCell(ctx context.Context, logger *logrus.Logger) (*cell, error) {
@@ -139,7 +141,7 @@
 	s.Limits.Lease = 2 * time.Second
 	s.Limits.Notice = time.Second
 	for _, place := range []*string{&s.Listen.Callers, &s.Listen.Operators, &s.Listen.Peers, &s.Listen.Forward} {
-		address, err := freeAddress()
+		address, err := c.ports.address()
 		if err != nil {
 			return err
 		}
@@ -149,7 +151,13 @@
 	ctx, stop := context.WithCancel(ctx)
 	n := &node{name: name, settings: s, entry: assembler.New(s, logger), stop: stop}
 	c.nodes = append(c.nodes, n)
-	c.group.Go(func() error { return n.entry.Run(ctx) })
+	c.group.Go(func() error {
+		err := n.entry.Run(ctx)
+		if err != nil {
+			c.failed.Store(&err)
+		}
+		return err
+	})
 	return nil
 }
 
@@ -171,15 +179,6 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns an address on which nothing listens at the moment.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // prepare sets both lists and waits until all entries are ready and every
 // server and worker has an owner.
 func (c *cell) prepare(ctx context.Context) error {
@@ -204,6 +203,9 @@
 		return errors.Wrap(err, "set the list of allowances")
 	}
 	for !c.owned() {
+		if failed := c.failed.Load(); failed != nil {
+			return errors.Wrap(*failed, "an entry ended")
+		}
 		if ctx.Err() != nil {
 			return ErrNotReady
 		}
@@ -268,4 +270,5 @@
 func (c *cell) stop() {
 	c.cancel()
 	_ = c.group.Wait()
+	_ = c.ports.release() // nothing listens there any more
 }
--- a/internal/demonstrator/jobs.go
+++ b/internal/demonstrator/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -58,6 +57,7 @@
 	log     emulator.Log
 	cell    *emulator.Cell
 	members []*member
+	ports   ports
 }
 
 // member is one entry of the demo.
@@ -80,6 +80,7 @@
 	if err := d.listWorkers(ctx); err != nil {
 		return JobsResult{}, err
 	}
+	defer func() { _ = d.ports.release() }() // nothing listens there any more
 	running, stop := context.WithCancel(ctx)
 	group, running := errgroup.WithContext(running)
 	for i := range jobEntries {
@@ -117,14 +118,11 @@
 func (d *Jobs) entry(name string) (*member, error) {
 	s := loader.Cell{Name: name, Zone: "demo", Lease: jobLease, Grace: jobGrace, Keep: jobKeep, Share: 1, Memory: jobMemory}
 	for _, place := range []*string{&s.Listen.Callers, &s.Listen.Ready, &s.Listen.Peers, &s.Listen.Metrics} {
-		free, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := d.ports.address()
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		*place = free.Addr().String()
-		if err := free.Close(); err != nil {
-			return nil, errors.Wrap(err, "free the port")
+			return nil, err
 		}
+		*place = address
 	}
 	way := &emulator.Way{Log: &d.log}
 	e := conductor.New(s, conductor.Ports{Platform: way, Workers: d.cell}, d.Logger.WithField("entry", name))
