Tell the leader of own jobs again until it is reached

Of eight runs with logs two failed; in both the line "leader not told of jobs" (no link to the leader): an entry that had just started wrote the job by itself before its link was made, and the leader could not read the log.

Change: the entry tries eight times, 250 ms apart; then the leader has to read it.

--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -11,6 +11,7 @@
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/replicator"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 func (e *Entry) configFollower() *replicator.Follower {
@@ -60,15 +61,33 @@
 func (e *Entry) added(values []replicator.Value, spared bool) {
 	if e.controller.Snapshot().Role() != keeper.Leading {
 		e.group.Go(func() error {
-			if err := e.linker.Tell(e.ctx, values); err != nil {
-				e.logger.WithError(err).Debug("leader not told of jobs, it reads them")
-			}
+			e.tell(values)
 			return nil
 		})
 	}
 	e.learned(values, spared)
 }
 
+const (
+	// tellAttempts and tellPause bound how long an entry tries to tell the leader
+	// of its jobs: a link is made anew within a second or two, and a leader that
+	// reads the log needs no telling.
+	tellAttempts = 8
+	tellPause    = 250 * time.Millisecond
+)
+
+// tell tells the leader of jobs that this entry has written by itself.
+func (e *Entry) tell(values []replicator.Value) {
+	var err error
+	for range tellAttempts {
+		if err = e.linker.Tell(e.ctx, values); err == nil || e.ctx.Err() != nil {
+			return
+		}
+		timer.Sleep(e.ctx, tellPause)
+	}
+	e.logger.WithError(err).Info("leader not told of jobs, it has to read them")
+}
+
 // learned tells the control thread of jobs that are in the log.
 func (e *Entry) learned(values []replicator.Value, spared bool) {
 	read := e.jobsRead(replicator.Batch{Values: values, Next: -1})
