Let only standbys replicate the log

Cause: every entry reads all jobs and runs to be able to lead.

Change: the leader names three standbys, those that reach the log, in other zones and strong, in its answers to hello and ping. Only they follow jobs and runs, and entries that have been without a leader for 1.5 s or longer. All entries follow a small stream of who leads. The answer to a ping has the addresses of all entries only if they changed.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -67,6 +67,13 @@
 	// live leader may lose its links and still reach the log.
 	linkLostTimeout    = 700 * time.Millisecond
 	unreachableTimeout = 350 * time.Millisecond
+	// replicaDelay is how long an entry is without a leader before it replicates the
+	// log, a time in which a standby takes over. An entry with a small share of a
+	// processor waits up to smallShareDelay longer, so that few read everything.
+	replicaDelay    = 1500 * time.Millisecond
+	smallShareDelay = 2500 * time.Millisecond
+	// minReplicaTime is how long a replica is kept that is no longer needed.
+	minReplicaTime = 10 * time.Second
 	// weakDelay is how much longer a weak entry waits before a claim. A stronger one
 	// needs a few appends to claim and to fence off the last leader.
 	weakDelay = 400 * time.Millisecond
@@ -137,14 +144,14 @@
 	group       errgroup.Group
 	catchUpSlot chan struct{} // semaphore with one slot, held while CatchUp reads
 
-	mu               sync.Mutex
-	active           *leaderServices    // nil unless this entry leads
-	stopRunsFollower context.CancelFunc // nil unless the runs are followed
+	mu           sync.Mutex
+	active       *leaderServices               // nil unless this entry leads
+	stopFollower map[string]context.CancelFunc // by stream that is followed temporarily
 }
 
 // New returns an entry that is not running yet.
 func New(s loader.Cell, p Ports, logger logrus.FieldLogger) *Entry {
-	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catchUpSlot: make(chan struct{}, 1)}
+	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catchUpSlot: make(chan struct{}, 1), stopFollower: map[string]context.CancelFunc{}}
 	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, CPUShare: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
 	e.relayer = &relayer.Relayer{Direct: p.Platform, Logger: logger}
@@ -156,6 +163,7 @@
 	e.relayer.Relay = e.linker
 	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Logger: logger}
 	e.Inspector = &inspector.Inspector{Viewer: e.controller, Leader: e.linker, Replica: e}
+	e.linker.Inspector = e.Inspector
 	e.registerMetrics()
 	return e
 }
@@ -168,8 +176,11 @@
 		UnreachableTimeout: unreachableTimeout,
 		Retention:          2 * e.settings.Keep,
 
-		WeakDelay:   weakDelay,
-		MinLeadTime: minLeadTime,
+		ReplicaDelay:    replicaDelay,
+		SmallShareDelay: smallShareDelay,
+		MinReplicaTime:  minReplicaTime,
+		WeakDelay:       weakDelay,
+		MinLeadTime:     minLeadTime,
 	}
 }
 
@@ -191,10 +202,10 @@
 		return false, "stopping"
 	case e.config.Load() == nil:
 		return false, "no configuration yet"
-	case !s.Synced() && s.Role() != keeper.Leading:
-		return false, "log not read yet"
+	case s.Linked() && s.Role() != keeper.Leading:
+		return true, "" // the leader accepts jobs for this entry
 	case time.Since(s.LastRead()) > maxReadyAge:
-		return false, "log cannot be read"
+		return false, "neither the leader nor the log can be reached"
 	}
 	return true, ""
 }
@@ -284,8 +295,7 @@
 	tree.Add(e.every("ticks", tickPeriod, e.tick))
 	tree.Add(e.every("survey", countsPeriod, e.logCounts))
 	tree.Add(e.configFollower())
-	tree.Add(e.jobsFollower())
-	e.followRuns()
+	tree.Add(e.leadsFollower())
 	var servers []*server
 	for _, o := range []struct {
 		name     string
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -216,6 +216,10 @@
 	return "", &classifier.Error{Kind: classifier.Unsent}
 }
 
+func (noLeader) Counts(context.Context) (map[string]int, error) {
+	return nil, &classifier.Error{Kind: classifier.Unsent}
+}
+
 // An ended job must not become unknown at an entry that lags behind in the stream
 // of runs but not in that of jobs: such an entry reads that the job was dropped
 // before it reads that the job ended.
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -45,6 +45,34 @@
 	log.Info("configuration in force")
 }
 
+// leadsFollower follows who leads. Every entry does, whereas only those that may
+// have to lead follow the jobs and runs.
+func (e *Entry) leadsFollower() *replicator.Follower {
+	return &replicator.Follower{
+		Stream: keeper.Leads, Reader: e.ports.Platform, Logger: e.logger, PollTimeout: readWait, From: -1,
+		Handle: func(b replicator.Batch) {
+			e.journal.MarkAvailable()
+			e.controller.Submit(e.leadsRead(b))
+		},
+	}
+}
+
+// leadsRead returns the event for a read of the stream of leaders.
+func (e *Entry) leadsRead(b replicator.Batch) keeper.LeadsRead {
+	var read keeper.LeadsRead
+	for _, v := range b.Values {
+		c, err := encoder.RunChange(v)
+		if err != nil {
+			e.logger.WithError(err).Error("record ignored, since decoding it failed")
+			continue
+		}
+		if c.Lead != nil {
+			read.Lead = c.Lead
+		}
+	}
+	return read
+}
+
 func (e *Entry) jobsFollower() *replicator.Follower {
 	return &replicator.Follower{
 		Stream: keeper.Jobs, Reader: e.ports.Platform, Logger: e.logger, PollTimeout: readWait, From: -1,
@@ -56,6 +84,15 @@
 	}
 }
 
+func (e *Entry) runsFollower() *replicator.Follower {
+	return &replicator.Follower{
+		Stream: keeper.Runs, Reader: e.ports.Platform, Logger: e.logger, PollTimeout: readWait, From: -1,
+		Pause:   func() time.Duration { return e.replicaPause(runsPause) },
+		Handle:  func(b replicator.Batch) { e.controller.Submit(e.runsRead(b)) },
+		OnError: func(error) { e.controller.Submit(keeper.ReadFailed{}) },
+	}
+}
+
 // jobsAdded submits jobs that this entry has written to the control thread. It also
 // sends them to the leader, which then need not read them first and may be unable
 // to read the log.
@@ -145,34 +182,32 @@
 	return read
 }
 
-// followRuns follows the stream of runs, from the newest values on, until the entry
-// leads.
-func (e *Entry) followRuns() {
+// follow starts a follower, unless its stream is followed already.
+func (e *Entry) follow(f *replicator.Follower) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.stopRunsFollower != nil {
+	if _, ok := e.stopFollower[f.Stream]; ok {
 		return
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
-	e.stopRunsFollower = cancel
-	f := &replicator.Follower{
-		Stream: keeper.Runs, Reader: e.ports.Platform, Logger: e.logger, PollTimeout: readWait, From: -1,
-		Pause:  func() time.Duration { return e.replicaPause(runsPause) },
-		Handle: func(b replicator.Batch) { e.controller.Submit(e.runsRead(b)) },
-	}
-	f.OnError = func(error) { e.controller.Submit(keeper.ReadFailed{}) }
+	e.stopFollower[f.Stream] = cancel
 	e.group.Go(func() error { return f.Serve(ctx) })
 }
 
-func (e *Entry) unfollowRuns() {
+// unfollow ends the follower of a stream.
+func (e *Entry) unfollow(stream string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.stopRunsFollower != nil {
-		e.stopRunsFollower()
-		e.stopRunsFollower = nil
+	if stop, ok := e.stopFollower[stream]; ok {
+		stop()
+		delete(e.stopFollower, stream)
 	}
 }
 
+// errNoReplica is the error of a query that needs the replica of an entry without
+// one.
+var errNoReplica = errors.New("this entry has no replica of the log")
+
 // CatchUp returns once the replica has everything about accepted jobs that was in
 // the log at the time of the call. An ended job is dropped from the stream of jobs
 // after its end is written to the runs, so the runs are read after the jobs. Only
@@ -184,6 +219,9 @@
 		return errors.Wrap(ctx.Err(), "wait for others who read the log")
 	}
 	defer func() { <-e.catchUpSlot }()
+	if s := e.controller.Snapshot(); !s.Synced() && s.Role() != keeper.Leading {
+		return errNoReplica
+	}
 	jobs, err := e.readJobs(ctx)
 	if err != nil {
 		return err
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -17,6 +17,7 @@
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/replicator"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
@@ -26,6 +27,8 @@
 	fenceAttempts = 4
 	// discardTimeout bounds the calls that drop an ended job.
 	discardTimeout = 3 * time.Second
+	// publishPause is the time between two attempts to publish who leads.
+	publishPause = 200 * time.Millisecond
 	// resignTimeout bounds the calls that announce a resignation.
 	resignTimeout = time.Second
 )
@@ -116,7 +119,7 @@
 
 // startLeading starts the services of a leader.
 func (e *Entry) startLeading(epoch int64) {
-	e.unfollowRuns()
+	e.unfollow(keeper.Runs)
 	ctx, cancel := context.WithCancel(e.ctx)
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
@@ -133,6 +136,10 @@
 		Handle: func(b replicator.Batch) { e.updateWorkers(c, b) },
 	}
 	c.group.Go(func() error { return c.recorder.Serve(ctx) })
+	c.group.Go(func() error {
+		e.publishLead(ctx, lead, firstLeadRecord)
+		return nil
+	})
 	c.group.Go(func() error { return workers.Serve(ctx) })
 	e.mu.Lock()
 	e.active = c
@@ -143,6 +150,34 @@
 	})
 }
 
+// firstLeadRecord is the sequence number of a leader's first record in the stream of
+// leaders.
+const firstLeadRecord = 1
+
+// publishLead writes who leads to the stream that all entries follow, until the log
+// takes it or the context ends. The epoch fences off earlier leaders.
+func (e *Entry) publishLead(ctx context.Context, lead keeper.LeaderRecord, sequence int64) {
+	logger := e.logger.WithField("epoch", lead.Epoch)
+	v, err := encoder.Leader(lead)
+	if err != nil {
+		logger.WithError(err).Error("leader not published, since encoding it failed")
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := e.relayer.Append(ctx, replicator.Append{
+			Stream: keeper.Leads, Values: []replicator.Value{v}, Writer: recorder.Writer, Epoch: lead.Epoch, Sequence: sequence, Timeout: claimTimeout,
+		})
+		if err == nil {
+			return
+		}
+		logger.WithError(err).Warn("leader not published")
+		if classifier.Is(err, classifier.Fenced) || classifier.Is(err, classifier.OutOfSequence) {
+			return
+		}
+		timer.Sleep(ctx, publishPause)
+	}
+}
+
 func (e *Entry) metricTimer(name string) metrics.Timer {
 	return metrics.GetOrRegisterTimer(name, e.Registry)
 }
@@ -176,7 +211,10 @@
 			c.recorder.Resign(bounded)
 		}
 		e.linker.Resign(bounded, r.Epoch)
-		e.followRuns()
+		if r.Graceful {
+			e.publishLead(bounded, keeper.LeaderRecord{Epoch: r.Epoch}, firstLeadRecord+1)
+		}
+		e.follow(e.runsFollower())
 		c.commander.Wait()
 		return nil
 	})
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -29,6 +29,12 @@
 			e.claim(f.Expected)
 			return nil
 		})
+	case keeper.StartReplicating:
+		e.follow(e.jobsFollower())
+		e.follow(e.runsFollower())
+	case keeper.StopReplicating:
+		e.unfollow(keeper.Jobs)
+		e.unfollow(keeper.Runs)
 	case keeper.StartLeading:
 		e.startLeading(f.Epoch)
 	case keeper.Resign:
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -35,6 +35,12 @@
 
 func (e JobsRead) apply(t *transition) {
 	known := t.Offset(Jobs)
+	if known < 0 && !e.Snapshot {
+		return // without the values before it, a change says little
+	}
+	if e.Next >= 0 {
+		t.lastJobsRead = t.now
+	}
 	for _, c := range e.Changes {
 		if !e.Snapshot && c.Offset < known {
 			continue
@@ -90,12 +96,16 @@
 }
 
 func (e RunsRead) apply(t *transition) {
-	t.lastRead = t.now
 	known := t.Offset(Runs)
 	if t.role == Leading {
+		t.lastRead = t.now
 		t.resignIfSuperseded(e.Changes)
 		return // Written events bring the leader's own records
 	}
+	if known < 0 && !e.Snapshot {
+		return // without the values before it, a change says little
+	}
+	t.lastRead = t.now
 	if known < 0 {
 		t.lastHeartbeat = t.now
 	}
@@ -144,6 +154,7 @@
 	if c.Lead.Epoch != t.State.lead.Epoch || c.Lead.Name != t.State.lead.Name {
 		t.emit(LogLeadership{What: "leader", Lead: *c.Lead, Why: "read from the log"})
 		t.linkLost, t.leaderUnreachable, t.leaderSteppedDown = false, false, false
+		t.replica = t.replica.withoutLink(t.now)
 	}
 	t.State.lead = *c.Lead
 	t.recordHeartbeat(old)
@@ -173,6 +184,9 @@
 func (ReadFailed) apply(t *transition) { t.lastRead = time.Time{} }
 
 func (e LinkLost) apply(t *transition) {
+	if e.Epoch == t.State.lead.Epoch {
+		t.replica = t.replica.withoutLink(t.now)
+	}
 	changed := !t.linkLost || e.Unreachable && !t.leaderUnreachable || e.SteppedDown && !t.leaderSteppedDown
 	if t.role != Following || e.Epoch != t.State.lead.Epoch || !changed {
 		return
@@ -191,6 +205,7 @@
 func (e LinkEstablished) apply(t *transition) {
 	if e.Epoch == t.State.lead.Epoch {
 		t.linkLost, t.leaderUnreachable, t.leaderSteppedDown = false, false, false
+		t.replica.linked = true
 	}
 }
 
@@ -204,6 +219,7 @@
 	}
 	t.State.lead = e.Lead
 	t.linkLost, t.leaderUnreachable, t.leaderSteppedDown = false, false, false
+	t.replica = t.replica.withoutLink(t.now)
 	t.emit(LogLeadership{What: "leader", Lead: e.Lead, Why: why})
 }
 
@@ -225,6 +241,7 @@
 		t.expireJobs()
 		t.applyToLeader(leader.Ticked{})
 	case Following:
+		t.updateReplica(e.Jitter)
 		t.claimIfSilent(e.Jitter)
 	}
 }
@@ -344,6 +361,8 @@
 	t.offsets = t.offsets.Without(Runs)
 	t.lastRead = time.Time{}
 	t.State.lead.Name = unknownLeader
+	t.replica = t.replica.withoutLink(t.now)
+	t.replica.active, t.replica.activeSince = true, t.now
 }
 
 // unknownLeader is the name of the leader until the real one is read from the log.
--- a/internal/keeper/effects.go
+++ b/internal/keeper/effects.go
@@ -14,6 +14,12 @@
 // still ends at the expected offset.
 type Claim struct{ Expected int64 }
 
+// StartReplicating follows the streams of jobs and runs from their newest values on.
+type StartReplicating struct{}
+
+// StopReplicating ends the following of both streams.
+type StopReplicating struct{}
+
 // StartLeading starts the services of a leader.
 type StartLeading struct{ Epoch int64 }
 
@@ -46,10 +52,12 @@
 	Silence time.Duration // time since the leader's last heartbeat
 }
 
-func (Claim) effect()         {}
-func (StartLeading) effect()  {}
-func (Resign) effect()        {}
-func (LeaderEffect) effect()  {}
-func (Discard) effect()       {}
-func (Expire) effect()        {}
-func (LogLeadership) effect() {}
+func (Claim) effect()            {}
+func (StartReplicating) effect() {}
+func (StopReplicating) effect()  {}
+func (StartLeading) effect()     {}
+func (Resign) effect()           {}
+func (LeaderEffect) effect()     {}
+func (Discard) effect()          {}
+func (Expire) effect()           {}
+func (LogLeadership) effect()    {}
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -73,6 +73,17 @@
 	From string // name of the other entry
 }
 
+// LeadsRead reports a read of the stream of leaders, with its newest record, if it
+// has one that was not read before. A record without a name is a resignation.
+type LeadsRead struct{ Lead *LeaderRecord }
+
+// StandbysLearned reports whether the leader of an epoch wants this entry to
+// replicate the streams, so that it can take over.
+type StandbysLearned struct {
+	Epoch   int64
+	Standby bool
+}
+
 // PeersSeen reports the largest CPU share among the linked entries.
 type PeersSeen struct{ MaxCPUShare float64 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -53,6 +53,13 @@
 	LinkLostTimeout    time.Duration // the same if the link to the leader is lost
 	UnreachableTimeout time.Duration // the same if no process answers at its address
 	Retention          time.Duration // how long the state of an ended job is kept
+	// ReplicaDelay is how long an entry without a link to a leader waits before it
+	// replicates the streams in order to be able to lead. An entry with a full
+	// processor waits that long; a smaller share adds up to SmallShareDelay.
+	ReplicaDelay, SmallShareDelay time.Duration
+	// MinReplicaTime is how long an entry keeps a replica that it no longer needs,
+	// so that a series of takeovers does not make it start over each time.
+	MinReplicaTime time.Duration
 	// WeakDelay is how much longer a weak entry waits before a claim, so that a
 	// stronger one claims first. A weak leader hands over to a stronger entry, but
 	// not before it has led for MinLeadTime.
@@ -78,8 +85,12 @@
 	endedAt  container.Ranking      // ended jobs by when their end was read, Unix milliseconds
 	offsets  container.Table[int64] // offset of the next read, by stream
 
+	replica replica
+
 	lastHeartbeat time.Time // last heartbeat of a leader, or when the timeout started anew
 	lastRead      time.Time // last successful read of the runs
+	lastLeads     time.Time // last successful read of the stream of leaders
+	lastJobsRead  time.Time // last successful read of the jobs
 	lastClaim     time.Time // when another entry's claim was read
 	linkLost      bool
 	// leaderUnreachable means that no process answers at the leader's address,
@@ -125,8 +136,14 @@
 // Synced reports whether both streams were read.
 func (s State) Synced() bool { return s.offsets.Has(Jobs) && s.offsets.Has(Runs) }
 
-// LastRead returns when the runs were last read.
-func (s State) LastRead() time.Time { return s.lastRead }
+// LastRead returns when the log last showed who leads. A leader's own appends
+// count as reads.
+func (s State) LastRead() time.Time {
+	if s.role != Leading && s.lastLeads.After(s.lastRead) {
+		return s.lastLeads
+	}
+	return s.lastRead
+}
 
 // Job returns an accepted job that has not been dropped.
 func (s State) Job(id ledger.ID) (ledger.Job, bool) { return s.jobs.Get(string(id)) }
@@ -142,24 +159,35 @@
 	return "", false
 }
 
-// Waiting returns how many accepted jobs of a queue have not begun.
-func (s State) Waiting(queue string) int {
-	n := 0
+// Waiting returns how many accepted jobs of each queue have not begun.
+func (s State) Waiting() map[string]int {
+	counts := map[string]int{}
 	for id, job := range s.jobs.All() {
-		if job.Queue.Name != queue || s.cancels.Has(id) {
+		if s.cancels.Has(id) {
 			continue
 		}
 		if p, ok := s.progress.Get(id); !ok || !p.State.Final() && !p.Begun() {
-			n++
+			counts[job.Queue.Name]++
 		}
 	}
-	return n
+	return counts
+}
+
+// Complete reports whether the state holds all jobs that were accepted up to a
+// time: that of a leader whom the log has confirmed since, or of a replica that has
+// read both streams since.
+func (s State) Complete(since time.Time) bool {
+	if s.lastRead.Before(since) {
+		return false
+	}
+	return s.role == Leading || s.Synced() && !s.lastJobsRead.Before(since)
 }
 
 // Streams of the log.
 const (
-	Jobs = "jobs" // accepted jobs and cancellations, written by every entry
-	Runs = "runs" // progress of jobs, claims and the leader's heartbeats
+	Jobs  = "jobs"  // accepted jobs and cancellations, written by every entry
+	Runs  = "runs"  // progress of jobs, claims and the leader's heartbeats
+	Leads = "leads" // who leads, a record for each change
 )
 
 // cancelSuffix marks the name of a cancellation.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -65,6 +65,7 @@
 
 func synced(leaders ...keeper.RunChange) *entry {
 	e := newEntry()
+	e.apply(keeper.Ticked{})
 	e.apply(keeper.JobsRead{Next: 0, Snapshot: true})
 	e.runs(leaders...)
 	return e
--- a/internal/keeper/strength_test.go
+++ b/internal/keeper/strength_test.go
@@ -24,6 +24,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newWeakEntry(0.2, weakDelay, time.Second)
+			e.apply(keeper.Ticked{})
 			e.apply(keeper.JobsRead{Next: 0, Snapshot: true})
 			e.runs(lead(5, "other"))
 			e.apply(keeper.PeersSeen{MaxCPUShare: c.strongest})
@@ -38,6 +39,7 @@
 func TestWeakLeadersHandOverOnce(t *testing.T) {
 	const minLeadTime = 3 * time.Second
 	e := newWeakEntry(0.2, 400*time.Millisecond, minLeadTime)
+	e.apply(keeper.Ticked{})
 	e.apply(keeper.JobsRead{Next: 0, Snapshot: true})
 	e.runs()
 	assert.Assert(t, e.claims(time.Second) > 0)
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -21,13 +21,15 @@
 	}
 	switch r.Method {
 	case methodPing:
-		return l.handlePing(), nil
+		return l.handlePing(rpc, *r.Params)
 	case methodLead:
 		return l.Viewer.Snapshot().Lead(), nil
 	case methodHello:
 		return l.handleHello(rpc, *r.Params)
 	case methodState:
-		return l.handleState(*r.Params)
+		return l.handleState(ctx, *r.Params)
+	case methodCounts:
+		return l.handleCounts(ctx)
 	case methodWrite:
 		return l.handleWrite(ctx, *r.Params)
 	case methodAdvise:
@@ -60,7 +62,8 @@
 	if l.entries == nil {
 		l.entries = map[string]peer{}
 	}
-	l.entries[m.Name] = peer{rpc, m.Address, m.Strength}
+	l.entries[m.Name] = peer{rpc, m.Address, m.Zone, m.Strength, m.ReadsLog}
+	l.version++
 	known := maps.Clone(l.addresses)
 	if known == nil {
 		known = map[string]string{}
@@ -71,10 +74,16 @@
 	l.Logger.WithField("peer", m.Name).Info("entry is linked")
 	l.submitLinked()
 	s := l.Viewer.Snapshot()
-	return helloAnswer{Leading: s.Role() == keeper.Leading && s.Lead().Epoch >= m.Epoch}, nil
+	if s.Role() != keeper.Leading || s.Lead().Epoch < m.Epoch {
+		return helloAnswer{}, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chooseStandbys(s.Self)
+	return helloAnswer{Leading: true, Standby: slices.Contains(l.standbys, m.Name)}, nil
 }
 
-func (l *Linker) handleState(params json.RawMessage) (any, error) {
+func (l *Linker) handleState(ctx context.Context, params json.RawMessage) (any, error) {
 	m, err := decode[stateMessage](params)
 	if err != nil {
 		return nil, err
@@ -83,10 +92,24 @@
 	if s.Role() != keeper.Leading {
 		return nil, &jsonrpc2.Error{Code: codeNotLeading, Message: "entry does not lead"}
 	}
-	state, _ := s.JobState(m.Job)
+	state, _, err := l.Inspector.JobState(ctx, m.Job)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: codeUnknown, Message: err.Error()}
+	}
 	return stateAnswer{State: state, Epoch: s.Lead().Epoch}, nil
 }
 
+func (l *Linker) handleCounts(ctx context.Context) (any, error) {
+	if l.Viewer.Snapshot().Role() != keeper.Leading {
+		return nil, &jsonrpc2.Error{Code: codeNotLeading, Message: "entry does not lead"}
+	}
+	counts, err := l.Inspector.Counts(ctx)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: codeUnknown, Message: err.Error()}
+	}
+	return countsAnswer{counts}, nil
+}
+
 func (l *Linker) handleWrite(ctx context.Context, params json.RawMessage) (any, error) {
 	m, err := decode[writeMessage](params)
 	if err != nil {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"slices"
 	"sync"
@@ -56,6 +57,7 @@
 	methodLead   = "lead"
 	methodAppend = "append"
 	methodTell   = "tell"
+	methodCounts = "counts"
 )
 
 type helloMessage struct {
@@ -64,17 +66,27 @@
 	Epoch   int64  `json:"epoch"` // epoch with which the sender takes the receiver to lead
 	// Strength is the sender's share of a processor.
 	Strength float64 `json:"strength"`
+	Zone     string  `json:"zone,omitempty"`
+	ReadsLog bool    `json:"log,omitempty"` // whether the log has answered the sender lately
 }
 
-// pongMessage is the answer to a ping. Only a leader sets Peers and Strongest.
+type pingMessage struct {
+	Version  int64 `json:"version,omitempty"` // version of the linked entries that the sender knows
+	ReadsLog bool  `json:"log,omitempty"`     // whether the log has answered the sender lately
+}
+
+// pongMessage is the answer to a ping. Only a leader sets the fields but Lead.
 type pongMessage struct {
-	Peers     map[string]string   `json:"peers,omitempty"`     // addresses of the linked entries by name
+	Standby   *bool               `json:"standby,omitempty"`   // whether the entry is to be able to take over
+	Version   int64               `json:"version,omitempty"`   // rises with each change of the linked entries
+	Peers     map[string]string   `json:"peers,omitempty"`     // addresses of the linked entries by name, if the version has changed
 	Strongest float64             `json:"strongest,omitempty"` // largest strength of the linked entries and the leader
 	Lead      keeper.LeaderRecord `json:"lead"`                // who leads, as the answering entry knows it
 }
 
 type helloAnswer struct {
 	Leading bool `json:"leading"` // whether the receiver leads with the epoch of the hello or a later one
+	Standby bool `json:"standby,omitempty"`
 }
 
 type stateMessage struct {
@@ -82,10 +94,14 @@
 }
 
 type stateAnswer struct {
-	State ledger.State `json:"state,omitempty"`
+	State ledger.State `json:"state,omitempty"` // empty if there is no such job
 	Epoch int64        `json:"epoch"`
 }
 
+type countsAnswer struct {
+	Waiting map[string]int `json:"waiting"` // jobs that have not begun, by queue
+}
+
 type writeMessage struct {
 	Name string `json:"name"`
 	Data []byte `json:"data"`
@@ -132,6 +148,14 @@
 	Advise(ctx context.Context, step string, workers []string) ([]leader.Permit, time.Duration, error)
 }
 
+// Inspector answers the queries of other entries while this one leads.
+type Inspector interface {
+	// JobState returns the state of a job, and whether the job exists.
+	JobState(ctx context.Context, id ledger.ID) (ledger.State, bool, error)
+	// Counts returns how many jobs of each queue have not begun.
+	Counts(ctx context.Context) (map[string]int, error)
+}
+
 // Linker is both ends of the protocol. Set the exported fields, then call Listen
 // and Serve.
 type Linker struct {
@@ -139,22 +163,29 @@
 	Sink        Sink
 	Journal     Journal
 	Adviser     Adviser
+	Inspector   Inspector
 	Log         Appender                        // direct access to the log, without a relay
 	OnAnnounced func(values []replicator.Value) // called with values that another entry has added to the stream of jobs
 	Logger      logrus.FieldLogger
 
 	mu        sync.Mutex
 	entries   map[string]peer   // entries linked to this one, by name
+	version   int64             // rises with each change of entries
+	standbys  []string          // entries that are to be able to take over
+	chosenAt  time.Time         // when the standbys were chosen
 	leader    *jsonrpc2.Conn    // link to the leader, nil if there is none
 	lastRelay string            // entry that last relayed an append for this one
 	addresses map[string]string // last known addresses of entries, by name
+	known     int64             // version of the leader's entries in addresses
 }
 
 // peer is an entry that is linked to this one.
 type peer struct {
 	rpc      *jsonrpc2.Conn
 	address  string
+	zone     string
 	strength float64
+	readsLog bool
 }
 
 // Listen serves the connections of other entries until the context ends.
@@ -172,6 +203,7 @@
 		if p.rpc == rpc {
 			name = n
 			delete(l.entries, n)
+			l.version++
 		}
 	}
 	l.mu.Unlock()
@@ -206,7 +238,7 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, pingTimeout)
 		var pong pongMessage
-		err := rpc.Call(bounded, methodPing, struct{}{}, &pong)
+		err := rpc.Call(bounded, methodPing, l.ping(), &pong)
 		cancel()
 		if err != nil {
 			return
@@ -219,13 +251,17 @@
 // other entries.
 func (l *Linker) handlePong(pong pongMessage) {
 	l.reportLead(pong.Lead, "ping response")
-	if len(pong.Peers) == 0 {
+	if pong.Standby == nil {
 		return
 	}
+	l.Sink.Submit(keeper.StandbysLearned{Epoch: pong.Lead.Epoch, Standby: *pong.Standby})
 	l.Sink.Submit(keeper.PeersSeen{MaxCPUShare: pong.Strongest})
+	if len(pong.Peers) == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addresses = pong.Peers
+	l.addresses, l.known = pong.Peers, pong.Version
 }
 
 // reportLead submits who leads if its epoch is later than the known one. An entry
@@ -238,18 +274,44 @@
 
 // handlePing answers with who leads. A leader adds the addresses of all linked
 // entries, so that they can find a new leader without the log.
-func (l *Linker) handlePing() pongMessage {
+func (l *Linker) handlePing(rpc *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+	m, err := decode[pingMessage](params)
+	if err != nil {
+		return nil, err
+	}
 	s := l.Viewer.Snapshot()
 	if s.Role() != keeper.Leading {
-		return pongMessage{Lead: s.Lead()}
+		return pongMessage{Lead: s.Lead()}, nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pong := pongMessage{Peers: map[string]string{}, Strongest: l.strongest(s.Self), Lead: s.Lead()}
+	sender := l.nameOf(rpc)
+	if p, ok := l.entries[sender]; ok {
+		p.readsLog = m.ReadsLog
+		l.entries[sender] = p
+	}
+	l.chooseStandbys(s.Self)
+	standby := slices.Contains(l.standbys, sender)
+	pong := pongMessage{Standby: &standby, Version: l.version, Strongest: l.strongest(s.Self), Lead: s.Lead()}
+	if m.Version == l.version {
+		return pong, nil
+	}
+	pong.Peers = make(map[string]string, len(l.entries))
 	for name, p := range l.entries {
 		pong.Peers[name] = p.address
 	}
-	return pong
+	return pong, nil
+}
+
+// nameOf returns the name of the linked entry with a connection, or "". The caller
+// holds the lock.
+func (l *Linker) nameOf(rpc *jsonrpc2.Conn) string {
+	for name, p := range l.entries {
+		if p.rpc == rpc {
+			return name
+		}
+	}
+	return ""
 }
 
 // strongest returns the strength of the strongest of the linked entries and
@@ -334,7 +396,10 @@
 	self := l.Viewer.Snapshot().Self
 	bounded, done := context.WithTimeout(ctx, dialTimeout)
 	var answer helloAnswer
-	err = rpc.Call(bounded, methodHello, helloMessage{self.Name, self.Address, lead.Epoch, self.CPUShare}, &answer)
+	hello := helloMessage{
+		Name: self.Name, Address: self.Address, Epoch: lead.Epoch, Strength: self.CPUShare, Zone: self.Zone, ReadsLog: l.readsLog(),
+	}
+	err = rpc.Call(bounded, methodHello, hello, &answer)
 	done()
 	if err != nil || !answer.Leading {
 		_ = rpc.Close()
@@ -343,7 +408,11 @@
 		}
 		return errors.Wrap(err, "send hello to leader")
 	}
+	l.mu.Lock()
+	l.known = 0 // the versions of another leader say nothing
+	l.mu.Unlock()
 	l.Sink.Submit(keeper.LinkEstablished{Epoch: lead.Epoch})
+	l.Sink.Submit(keeper.StandbysLearned{Epoch: lead.Epoch, Standby: answer.Standby})
 	l.Logger.WithFields(logrus.Fields{"peer": lead.Name, "epoch": lead.Epoch}).Info("linked to the leader")
 	l.setLeader(rpc)
 	defer l.setLeader(nil)
@@ -409,13 +478,21 @@
 	return &classifier.Error{Kind: classifier.Unanswered, Call: method, Cause: err}
 }
 
-// JobState asks the leader for the state of a job, as it is in the log.
+// JobState asks the leader for the state of a job, as it is in the log, which is
+// empty if there is no such job.
 func (l *Linker) JobState(ctx context.Context, id ledger.ID) (ledger.State, error) {
 	var a stateAnswer
 	err := l.callLeader(ctx, methodState, stateMessage{id}, &a)
 	return a.State, err
 }
 
+// Counts asks the leader how many jobs of each queue have not begun.
+func (l *Linker) Counts(ctx context.Context) (map[string]int, error) {
+	var a countsAnswer
+	err := l.callLeader(ctx, methodCounts, struct{}{}, &a)
+	return a.Waiting, err
+}
+
 // Add asks the leader to add a value to the stream of jobs and returns when it is
 // in the log.
 func (l *Linker) Add(ctx context.Context, v replicator.Value) error {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -78,6 +78,8 @@
 	logger, _ := test.NewNullLogger()
 	e := &entry{state: keeper.New(keeper.Identity{Name: name, Address: l.Addr().String()}, keeper.Policy{})}
 	e.link = &linker.Linker{Viewer: e, Sink: e, Journal: e, Adviser: e, Logger: logger}
+	e.link.Inspector = states{e}
+	e.Submit(keeper.Ticked{})
 	e.Submit(keeper.JobsRead{Snapshot: true})
 	e.Submit(keeper.RunsRead{Snapshot: true})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -92,6 +94,18 @@
 	return e
 }
 
+// states answers queries about jobs from the state of an entry.
+type states struct{ entry *entry }
+
+func (s states) JobState(_ context.Context, id ledger.ID) (ledger.State, bool, error) {
+	state, known := s.entry.Snapshot().JobState(id)
+	return state, known, nil
+}
+
+func (s states) Counts(context.Context) (map[string]int, error) {
+	return s.entry.Snapshot().Waiting(), nil
+}
+
 // becomeLeader makes an entry the leader of an epoch.
 func (e *entry) becomeLeader(epoch int64) {
 	e.Submit(keeper.Ticked{Jitter: time.Nanosecond})
