--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -87,7 +87,7 @@
 		needed = p.countIdle(r)
 	}
 	for _, i := range p.eligible(r, held) {
-		needed -= p.fitsAt(r, p.candidates[i].Free, size, counts[p.candidates[i].ID], needed)
+		needed -= p.fitsAt(r, p.slots[i].Free, size, counts[p.slots[i].ID], needed)
 		if needed <= 0 {
 			return true
 		}
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -151,7 +151,9 @@
 	t.markChanged(job.Job.ID)
 }
 
-func (t *transition) setWorker(w Worker) { t.workers = t.workers.With(w.ID, w) }
+func (t *transition) setWorker(w Worker) {
+	t.workers, t.staleSlots = t.workers.With(w.ID, w), t.staleSlots.With(w.ID, true)
+}
 
 // stepKey returns the key of a step of a round.
 func stepKey(id ledger.ID, round, step int) string {
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -42,8 +42,9 @@
 	if near != "" {
 		racks, seen[near] = append(racks, near), true
 	}
-	for _, c := range p.candidates {
-		if !seen[c.Rack] && c.Rack != "" {
+	for i := range p.slots {
+		c := &p.slots[i]
+		if !seen[c.Rack] && c.Rack != "" && c.usable(p.now) {
 			racks, seen[c.Rack] = append(racks, c.Rack), true
 		}
 	}
@@ -63,11 +64,11 @@
 			break
 		}
 		chosen = append(chosen, i)
-		p.candidates[i].Free = p.candidates[i].Free.Minus(size)
-		counts[p.candidates[i].ID]++
+		p.slots[i].Free = p.slots[i].Free.Minus(size)
+		counts[p.slots[i].ID]++
 	}
 	for _, i := range chosen {
-		p.candidates[i].Free = p.candidates[i].Free.Plus(size)
+		p.slots[i].Free = p.slots[i].Free.Plus(size)
 	}
 	return chosen
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -48,6 +48,8 @@
 	prefetch       container.Ranking          // steps to request advice for while their predecessors run, by urgency
 	dueRounds      container.Ranking          // jobs by the time at which their next round is due
 	workers        container.Table[Worker]
+	pool           pool                         // slots of the workers as of the last placement pass
+	staleSlots     container.Table[bool]        // workers that have changed since
 	commitWaiters  []commitWaiter               // actions that wait for a batch, in order of batches
 	adviceCalls    container.Table[adviceCall]  // advice calls in progress, by number
 	permits        container.Table[permits]     // advice received, by step
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -89,8 +89,8 @@
 	fits := 0
 	counts := p.runsByWorker(r)
 	for id := range have.tickets {
-		if i, ok := p.indexByID[id]; ok && p.hasFreshTicket(r, have, id) {
-			fits += p.fitsAt(r, p.candidates[i].Free, r.spec().Reservation(), counts[id], idle)
+		if i, ok := p.indexByID[id]; ok && p.slots[i].usable(p.now) && p.hasFreshTicket(r, have, id) {
+			fits += p.fitsAt(r, p.slots[i].Free, r.spec().Reservation(), counts[id], idle)
 		}
 	}
 	return capacityMargin * float64(fits)
@@ -103,8 +103,9 @@
 	size := r.spec().Reservation()
 	var nominees []nominee
 	counts := p.runsByWorker(r)
-	for i, c := range p.candidates {
-		if !p.matches(r, i) || slices.Contains(have.denied, c.ID) || p.hasFreshTicket(r, have, c.ID) {
+	for _, i := range p.matching(r) {
+		c := &p.slots[i]
+		if slices.Contains(have.denied, c.ID) || p.hasFreshTicket(r, have, c.ID) {
 			continue
 		}
 		fits := p.fitsAt(r, c.Free, size, counts[c.ID], idle)
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivelock/endivelock/internal/container"
 	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/placer"
 )
@@ -12,14 +13,10 @@
 // that may take tasks and the capacity that pending stops will free.
 type placementPass struct {
 	*transition
-	candidates     []placer.Candidate
+	slots          []slot // changed by the pass as it claims capacity
 	indexByID      map[string]int
-	freeAfterStops []ledger.Resources // free capacity of each candidate after pending stops, less what this pass has claimed
-	preemptible    []ledger.Resources // capacity that preemption may free in addition
-	services       []string
-	labels         [][]string
 	fitting        []*placer.Candidate   // candidates with room for a task; reused between choices
-	fittingIndex   []int                 // index in candidates of each in fitting
+	fittingIndex   []int                 // index in slots of each in fitting
 	matchCache     map[requirement][]int // candidates that meet each requirement
 	callCounts     map[string]int        // advice calls in progress by worker that they query, nil until counted
 	failedSearches int                   // steps without room anywhere that an advice call could query
@@ -34,21 +31,9 @@
 	if t.waiting.Len() == 0 && t.prefetch.Len() == 0 {
 		return
 	}
-	p := &placementPass{transition: t, indexByID: make(map[string]int, t.workers.Len()), matchCache: map[requirement][]int{}}
-	for id, w := range t.workers.All() {
-		if !w.Schedulable(t.now) {
-			continue
-		}
-		free := w.Free()
-		p.indexByID[id] = len(p.candidates)
-		p.candidates = append(p.candidates, placer.Candidate{
-			ID: id, Free: free, Capacity: w.Capacity, Rack: w.Rack, ConsecutiveFailures: w.ConsecutiveFailures, Slowness: w.slowness(), Serving: w.ServingRuns > 0, BestEffort: w.BestEffortRuns > 0,
-		})
-		p.freeAfterStops = append(p.freeAfterStops, free.Plus(w.UsedByStopping))
-		p.preemptible = append(p.preemptible, w.UsedByPreemptible)
-		p.services = append(p.services, w.Service)
-		p.labels = append(p.labels, w.Labels)
-	}
+	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
+	// The slots that the pass changes are stale afterwards, since their workers have changed.
+	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}}
 	for key := range t.waiting.From(minScore) {
 		if r, ok := t.resolveStep(key); ok {
 			p.placeStep(r)
@@ -112,7 +97,7 @@
 			return
 		}
 		p.placeRun(r, id, task.Run+1, i, held)
-		counts[p.candidates[i].ID]++
+		counts[p.slots[i].ID]++
 	}
 }
 
@@ -127,7 +112,7 @@
 		if !p.now.Before(t.expiry) {
 			continue
 		}
-		if i, ok := p.indexByID[id]; ok && p.matches(r, i) {
+		if i, ok := p.indexByID[id]; ok && p.slots[i].usable(p.now) && p.matches(r, i) {
 			eligible = append(eligible, i)
 		}
 	}
@@ -170,8 +155,8 @@
 	if ok {
 		return found
 	}
-	for i := range p.candidates {
-		if p.matches(r, i) {
+	for i := range p.slots {
+		if p.slots[i].usable(p.now) && p.matches(r, i) {
 			found = append(found, i)
 		}
 	}
@@ -210,7 +195,7 @@
 func (p *placementPass) choose(d placer.Demand, eligible []int, accept func(c *placer.Candidate) bool) int {
 	p.fitting, p.fittingIndex = p.fitting[:0], p.fittingIndex[:0]
 	for _, i := range eligible {
-		if c := &p.candidates[i]; c.Free.CanFit(d.Size) && accept(c) {
+		if c := &p.slots[i].Candidate; c.Free.CanFit(d.Size) && accept(c) {
 			p.fitting, p.fittingIndex = append(p.fitting, c), append(p.fittingIndex, i)
 		}
 	}
@@ -231,13 +216,13 @@
 // its label.
 func (p *placementPass) matches(r stepRef, i int) bool {
 	label := r.spec().RequiredLabel
-	return p.services[i] == r.job.Job.Queue.Service && (label == "" || slices.Contains(p.labels[i], label))
+	return p.slots[i].service == r.job.Job.Queue.Service && (label == "" || slices.Contains(p.slots[i].labels, label))
 }
 
 // placeRun places a run at a candidate. Its start is ordered once its record is in
 // the log.
 func (p *placementPass) placeRun(r stepRef, id ledger.TaskID, run, i int, held tickets) {
-	c := &p.candidates[i]
+	c := &p.slots[i]
 	w, _ := p.workers.Get(c.ID)
 	job, _ := p.jobs.Get(string(id.Job))
 	spec := r.spec()
@@ -258,7 +243,7 @@
 		p.rerank = append(p.rerank, id.Job)
 	}
 	c.Free = c.Free.Minus(spec.Reservation())
-	p.freeAfterStops[i] = p.freeAfterStops[i].Minus(spec.Reservation())
+	c.freeAfterStops = c.freeAfterStops.Minus(spec.Reservation())
 	c.Serving = c.Serving || spec.LatencyTarget > 0
 	c.BestEffort = c.BestEffort || spec.BestEffort
 	p.emit(Decision{What: "place", Job: id.Job, Task: id.String(), Run: run, Worker: c.ID, Batch: p.nextBatch(), Why: r.job.Job.Queue.Name})
@@ -282,9 +267,10 @@
 		}
 	}
 	for _, i := range eligible {
-		id := p.candidates[i].ID
+		id := p.slots[i].ID
 		for missing > 0 && p.belowLimit(r, id, counts) && p.makeRoom(i, size) {
-			p.freeAfterStops[i] = p.freeAfterStops[i].Minus(size)
+			p.slots[i].freeAfterStops = p.slots[i].freeAfterStops.Minus(size)
+			p.staleSlots = p.staleSlots.With(id, true) // the claim ends with the pass
 			counts[id]++
 			missing--
 		}
@@ -295,14 +281,15 @@
 // size after pending stops, and stops preemptible runs if that is necessary and
 // sufficient.
 func (p *placementPass) makeRoom(i int, size ledger.Resources) bool {
-	if p.freeAfterStops[i].CanFit(size) {
+	c := &p.slots[i]
+	if c.freeAfterStops.CanFit(size) {
 		return true
 	}
-	if !p.freeAfterStops[i].Plus(p.preemptible[i]).CanFit(size) {
+	if !c.freeAfterStops.Plus(c.preemptible).CanFit(size) {
 		return false
 	}
-	w, _ := p.workers.Get(p.candidates[i].ID)
-	free := p.freeAfterStops[i]
+	w, _ := p.workers.Get(c.ID)
+	free := c.freeAfterStops
 	var victims []Placement
 	for _, placed := range w.Placements.All() {
 		if free.CanFit(size) {
@@ -318,9 +305,9 @@
 	}
 	for _, v := range victims {
 		w = p.stopRun(w, v, "preempted by a more urgent job")
-		p.preemptible[i] = p.preemptible[i].Minus(v.Size)
+		c.preemptible = c.preemptible.Minus(v.Size)
 	}
-	p.freeAfterStops[i] = free
+	c.freeAfterStops = free
 	return true
 }
 
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -53,7 +53,7 @@
 	if w.Listed || w.Placements.Len() > 0 || len(w.UnackedEnds) > 0 {
 		return
 	}
-	t.workers = t.workers.Without(w.ID)
+	t.workers, t.staleSlots = t.workers.Without(w.ID), t.staleSlots.With(w.ID, true)
 	t.emit(StopPolling{Worker: w.ID})
 }
 
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -165,11 +165,6 @@
 	return w
 }
 
-// Schedulable reports whether the worker may be given new tasks at time now.
-func (w Worker) Schedulable(now time.Time) bool {
-	return w.Listed && !w.Draining && w.Reachability == Reachable && !now.Before(w.ExcludedUntil)
-}
-
 // leaseExpiry returns the time by which all runs at an unreachable worker have ended
 // because its leases have expired, allowing for clock drift.
 func (w Worker) leaseExpiry(s State) time.Time {
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -4,6 +4,7 @@
 package spooler
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,10 @@
 // queueLength bounds the queued lines. At 300 bytes a line it is about 1 MB.
 const queueLength = 4096
 
+// maxWriteBytes is the size from which lines that wait are not added to a write.
+// Each write is a system call, whatever its size.
+const maxWriteBytes = 32 << 10
+
 // Spooler is an asynchronous writer; each Write is one line. Create it with New.
 type Spooler struct {
 	output  io.Writer
@@ -47,7 +52,7 @@
 	for {
 		select {
 		case line := <-s.queue:
-			s.write(line)
+			s.write(s.collect(line))
 		case <-ctx.Done():
 			s.flush()
 			return ctx.Err()
@@ -63,17 +68,30 @@
 	for {
 		select {
 		case line := <-s.queue:
-			s.write(line)
+			s.write(s.collect(line))
 		default:
 			return
 		}
 	}
 }
 
-// write writes a line to the output. An error only counts the line as dropped,
-// since there is no other output to report it to.
-func (s *Spooler) write(line []byte) {
-	if _, err := s.output.Write(line); err != nil {
-		s.dropped.Add(1)
+// collect returns a line together with those that wait behind it.
+func (s *Spooler) collect(line []byte) []byte {
+	for len(line) < maxWriteBytes {
+		select {
+		case next := <-s.queue:
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+	return line
+}
+
+// write writes lines to the output. An error only counts them as dropped, since
+// there is no other output to report it to.
+func (s *Spooler) write(lines []byte) {
+	if _, err := s.output.Write(lines); err != nil {
+		s.dropped.Add(int64(bytes.Count(lines, []byte{'\n'})))
 	}
 }
