Count the lines being written into the spooler's bound

The batching of lines let a blocked output hold more lines than the queue; TestBlockedOutputDoesNotBlockWriters showed it (5,821 of 10,000 dropped instead of 5,903). The bound now covers both.

--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 )
 
-// queueLength bounds the queued lines. At 300 bytes a line it is about 1 MB.
+// queueLength bounds the lines that are queued or being written. At 300 bytes a line it is about 1 MB.
 const queueLength = 4096
 
 // maxWriteBytes is the size from which lines that wait are not added to a write.
@@ -22,6 +22,7 @@
 type Spooler struct {
 	output  io.Writer
 	queue   chan []byte
+	writing atomic.Int64 // lines that are being written
 	dropped atomic.Int64
 }
 
@@ -35,6 +36,10 @@
 // Write queues a copy of a line, or drops the line if the queue is full. It never
 // fails.
 func (s *Spooler) Write(line []byte) (int, error) {
+	if s.writing.Load()+int64(len(s.queue)) > queueLength {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
@@ -77,9 +82,11 @@
 
 // collect returns a line together with those that wait behind it.
 func (s *Spooler) collect(line []byte) []byte {
+	s.writing.Store(1)
 	for len(line) < maxWriteBytes {
 		select {
 		case next := <-s.queue:
+			s.writing.Add(1)
 			line = append(line, next...)
 		default:
 			return line
@@ -91,6 +98,7 @@
 // write writes lines to the output. An error only counts them as dropped, since
 // there is no other output to report it to.
 func (s *Spooler) write(lines []byte) {
+	defer s.writing.Store(0)
 	if _, err := s.output.Write(lines); err != nil {
 		s.dropped.Add(int64(bytes.Count(lines, []byte{'\n'})))
 	}
