Let linked entries call the workers for the leader

Cause: a leader makes an HTTP call for each start and for each report; at 350 and 1,100 workers these, their decoding and the placement passes use its processor up.

Change: a delegator spreads the workers beyond 64 over linked entries, the strong ones first. They run a commander under the leader's epoch and exchange commands and events with it in batches. A deputy's permission to renew leases and to send orders expires 2 s after the last batch that the leader confirmed, by both clocks. A commander passes on the running tasks of a worker once a second and ends at once.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -36,6 +36,10 @@
 	// maxCalls bounds the polls of all workers and their orders, in flight or
 	// waiting, taken together.
 	maxCalls = 4096
+	// fullReportInterval is the least time between two reports of a worker that list
+	// its running tasks. The reports between them bring ends, which are urgent; the
+	// progress of running tasks is not, and there is much more of it.
+	fullReportInterval = time.Second
 )
 
 // Target is the worker that a call is for, with the leader's epoch and the lease
@@ -72,8 +76,8 @@
 	Logger        logrus.FieldLogger
 	Epoch         int64
 	Lease         time.Duration    // length of the leases
-	Renewal       time.Duration    // leases are renewed only this long after the log last confirmed the leader
-	LastConfirmed func() time.Time // returns when the log last confirmed the leader
+	Renewal       time.Duration    // calls are permitted only this long after the leader was last confirmed
+	LastConfirmed func() time.Time // returns when the leader was last confirmed
 	Polls         metrics.Timer
 	Orders        metrics.Timer
 
@@ -95,6 +99,7 @@
 	clockReadAt   time.Time     // when clock was received
 	leaseDeadline int64         // latest lease deadline sent, on the worker's clock
 	unanswered    bool          // the last poll got no answer
+	fullReportAt  time.Time     // when running tasks were last reported
 	cancel        context.CancelFunc
 	orderSlots    chan struct{}
 }
@@ -219,7 +224,9 @@
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Deadline: to.Deadline})
 		return err
 	}
-	s.recordReport(report, time.Now())
+	if !s.recordReport(report, sent, wait == 0) {
+		report.Running, report.Partial = nil, true
+	}
 	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: sent, Deadline: to.Deadline})
 	return nil
 }
@@ -232,13 +239,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := Target{Worker: worker, Address: s.address, Epoch: c.Epoch}
-	if !s.clockReadAt.IsZero() && !s.unanswered && now.Sub(c.LastConfirmed()) < c.Renewal {
+	if !s.clockReadAt.IsZero() && !s.unanswered && c.permitted(now) {
 		s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
 		to.Deadline = s.leaseDeadline
 	}
 	return to, s.acked
 }
 
+// permitted reports whether the leader was confirmed lately enough for calls in its
+// name. A process that was paused finds out here, right before each call.
+func (c *Commander) permitted(now time.Time) bool {
+	return timer.Elapsed(c.LastConfirmed(), now) < c.Renewal
+}
+
 // orderTarget returns the target of an order. Orders don't extend leases beyond
 // the deadline that polls have sent, so that the leader knows when they lapse.
 // Only an order that comes before the first such deadline sets one.
@@ -258,14 +271,21 @@
 func (s *workerState) recordMiss() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.acked, s.unanswered = 0, true
+	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
 }
 
-func (s *workerState) recordReport(r leader.Report, now time.Time) {
+// recordReport records a report and reports whether its running tasks are to be
+// passed on: if the last ones are old or were asked for.
+func (s *workerState) recordReport(r leader.Report, sent time.Time, asked bool) bool {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Incarnation < s.incarnation {
-		return
+		return true
+	}
+	full := asked || r.Incarnation != s.incarnation || sent.Sub(s.fullReportAt) >= fullReportInterval
+	if full {
+		s.fullReportAt = sent
 	}
 	s.unanswered = false
 	if r.Incarnation != s.incarnation {
@@ -277,6 +297,7 @@
 	if r.Clock >= s.clock {
 		s.clock, s.clockReadAt = r.Clock, now
 	}
+	return full
 }
 
 // Order sends an order and submits its outcome. Orders beyond
@@ -300,8 +321,14 @@
 }
 
 func (c *Commander) sendOrder(s *workerState, o leader.Order) {
-	to := c.orderTarget(o.Worker, s, time.Now())
 	began := time.Now()
+	if !c.permitted(began) {
+		c.Logger.WithFields(logrus.Fields{"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch}).
+			Warn("order not sent, since the leader has not been confirmed for too long")
+		c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: leader.NotSent, At: began})
+		return
+	}
+	to := c.orderTarget(o.Worker, s, began)
 	err := c.Workers.Order(c.ctx, to, o)
 	c.Orders.UpdateSince(began)
 	if c.ctx.Err() != nil {
@@ -313,7 +340,7 @@
 			"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch,
 		}).WithError(err).Warn("order failed")
 	}
-	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome})
+	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome, At: time.Now()})
 }
 
 // outcomeOf returns the outcome of an order from its error.
--- /dev/null
+++ b/internal/commands/delegator/delegator.go
@@ -0,0 +1,504 @@
+// Package delegator spreads a leader's calls to workers over the linked entries. A
+// call over HTTP costs the leader far more than its decision; entries that call
+// workers in its name, its deputies, exchange commands and events with it in batches.
+//
+// A Delegator is the leader's end: it assigns each worker to a deputy or to the
+// leader's own commander and passes commands on in order. A Deputy is an entry's end:
+// it runs a commander for the leader's epoch. Decisions, records and epochs stay with
+// the leader. What a deputy may do expires unless the leader keeps confirming it.
+package delegator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+	"github.com/endivelock/endivelock/internal/timer"
+)
+
+const (
+	// maxLocal is the number of workers that a leader calls itself.
+	maxLocal = 64
+	// workersPerCore is the number of workers that a deputy calls for each whole core
+	// of its share of a processor.
+	workersPerCore = 80
+	// flushInterval is the least time between two batches to or from a deputy.
+	flushInterval = 8 * time.Millisecond
+	// commandTimeout bounds the passing of one batch of commands. A deputy only queues
+	// them; one that takes longer is paused or cut off.
+	commandTimeout = time.Second
+	// checkInterval is the time between two checks whether a deputy still reports.
+	checkInterval = 500 * time.Millisecond
+	// lostPause is how long a lost deputy that is still linked gets no workers, since
+	// each loss makes the outcome of its orders unknown.
+	lostPause = 5 * time.Second
+	// MaxGrant is how long a deputy goes on without a confirmation by the leader.
+	MaxGrant = 2 * time.Second
+)
+
+// Command is one thing for a deputy to do. One field is set.
+type Command struct {
+	Watch   *leader.StartPolling `json:"watch,omitempty"`
+	Unwatch string               `json:"unwatch,omitempty"`
+	Poll    string               `json:"poll,omitempty"`
+	Ack     *leader.Acknowledge  `json:"ack,omitempty"`
+	Order   *leader.Order        `json:"order,omitempty"`
+}
+
+// Commands is a batch of commands to a deputy, to be done in order.
+type Commands struct {
+	Epoch   int64         `json:"epoch"`
+	Session int64         `json:"session"` // a deputy begins anew in each session
+	Lease   time.Duration `json:"lease"`   // length of the leases at workers
+	List    []Command     `json:"list"`
+}
+
+// Event is something that a deputy reports. One of the pointers is set.
+type Event struct {
+	At     time.Duration         `json:"at"` // when a poll was sent or an answer arrived, since the start of the deputy
+	Report *Report               `json:"report,omitempty"`
+	Failed *leader.PollFailed    `json:"failed,omitempty"`
+	Answer *leader.OrderAnswered `json:"answer,omitempty"`
+}
+
+// Report is the report of a worker that answered a poll.
+type Report struct {
+	Worker   string        `json:"worker"`
+	Report   leader.Report `json:"report"`
+	Deadline int64         `json:"deadline"` // as in leader.Reported
+}
+
+// Events is a batch of events from a deputy.
+type Events struct {
+	Epoch   int64         `json:"epoch"`
+	Session int64         `json:"session"`
+	Now     time.Duration `json:"now"` // when the batch was sent, on the clock of Event.At
+	List    []Event       `json:"list,omitempty"`
+}
+
+// Entry is a linked entry that can be a deputy.
+type Entry struct {
+	Name     string
+	Zone     string
+	CPUShare float64
+}
+
+// Caller calls workers. The methods start calls and do not wait.
+type Caller interface {
+	Watch(e leader.StartPolling)
+	Unwatch(e leader.StopPolling)
+	Poll(e leader.PollNow)
+	Acknowledge(e leader.Acknowledge)
+	Order(o leader.Order)
+}
+
+// Link passes commands on to other entries.
+type Link interface {
+	// Command passes a batch on to an entry and returns once it has accepted it.
+	Command(ctx context.Context, entry string, c Commands) error
+}
+
+// Sink takes events.
+type Sink interface {
+	// Submit takes an event for the leader of an epoch.
+	Submit(epoch int64, e leader.Event)
+}
+
+// Delegator is the leader's end. Set the exported fields, call Start before any other
+// method, and Wait after the context has ended.
+type Delegator struct {
+	Local     Caller
+	Link      Link
+	Sink      Sink
+	Logger    logrus.FieldLogger
+	Epoch     int64
+	Lease     time.Duration
+	MayGrant  func() bool // whether the leader was confirmed lately enough to grant MaxGrant more
+	MaxLocal  int         // workers that the leader calls itself; 0 for the default
+	ctx       context.Context
+	group     errgroup.Group
+	mu        sync.Mutex
+	deputies  map[string]*deputy
+	workers   map[string]assignment
+	local     int // workers that the leader calls itself
+	sessions  int64
+	rebalance bool                 // workers may be called by the leader for want of deputies
+	lostAt    map[string]time.Time // when entries were last lost as deputies
+}
+
+// assignment is a worker and who calls it.
+type assignment struct {
+	watch  leader.StartPolling
+	deputy *deputy // nil for the leader
+}
+
+// deputy is what the leader knows of a deputy.
+type deputy struct {
+	entry    Entry
+	session  int64
+	capacity int // workers that it is to call at most
+	workers  int
+	commands []Command
+	wake     chan struct{}
+	orders   map[orderKey]leader.Order // not answered yet
+	began    time.Time                 // start of the deputy, on the leader's clock; zero until it has reported
+	reported time.Time                 // when it last reported, or when it was added
+	cancel   context.CancelFunc
+}
+
+type orderKey struct {
+	worker string
+	kind   leader.OrderKind
+	task   ledger.TaskID
+	run    int
+}
+
+func keyOf(o leader.Order) orderKey { return orderKey{o.Worker, o.Kind, o.Task, o.Run} }
+
+// Start prepares the delegator. The context bounds all its calls.
+func (d *Delegator) Start(ctx context.Context) {
+	d.ctx = ctx
+	d.deputies, d.workers, d.lostAt = map[string]*deputy{}, map[string]assignment{}, map[string]time.Time{}
+	if d.MaxLocal == 0 {
+		d.MaxLocal = maxLocal
+	}
+}
+
+// Wait returns when no batch is in flight.
+func (d *Delegator) Wait() { _ = d.group.Wait() }
+
+// SetEntries sets the entries that are linked. Workers of an entry that is no longer
+// linked are called by others.
+func (d *Delegator) SetEntries(entries []Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	linked := map[string]bool{}
+	for _, e := range entries {
+		linked[e.Name] = true
+		if _, ok := d.deputies[e.Name]; !ok && time.Since(d.lostAt[e.Name]) >= lostPause {
+			d.add(e)
+		}
+	}
+	for name, p := range d.deputies {
+		if !linked[name] {
+			d.lose(p, "it is no longer linked")
+		}
+	}
+	d.moveFromLeader()
+}
+
+// add adds a deputy. The caller holds the lock.
+func (d *Delegator) add(e Entry) {
+	d.sessions++
+	ctx, cancel := context.WithCancel(d.ctx)
+	p := &deputy{
+		entry: e, session: d.sessions, capacity: max(1, int(workersPerCore*e.CPUShare)), wake: make(chan struct{}, 1),
+		orders: map[orderKey]leader.Order{}, reported: time.Now(), cancel: cancel,
+	}
+	d.deputies[e.Name] = p
+	d.group.Go(func() error {
+		d.send(ctx, p)
+		return nil
+	})
+}
+
+// lose removes a deputy: its workers get other callers, and the outcome of its
+// orders is unknown. The caller holds the lock.
+func (d *Delegator) lose(p *deputy, why string) {
+	if d.deputies[p.entry.Name] != p {
+		return
+	}
+	delete(d.deputies, p.entry.Name)
+	p.cancel()
+	if p.workers == 0 {
+		return
+	}
+	d.lostAt[p.entry.Name] = time.Now()
+	d.Logger.WithFields(logrus.Fields{"peer": p.entry.Name, "epoch": d.Epoch, "workers": p.workers, "orders": len(p.orders), "why": why}).Warn("deputy lost; others call its workers")
+	outcomes := p.outcomes()
+	moved := map[string]assignment{}
+	for id, a := range d.workers {
+		if a.deputy == p {
+			moved[id] = a
+		}
+	}
+	d.group.Go(func() error {
+		for id := range moved {
+			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id})
+		}
+		for _, o := range outcomes {
+			d.Sink.Submit(d.Epoch, o)
+		}
+		return nil
+	})
+	for id, a := range moved {
+		d.assign(id, a.watch)
+	}
+}
+
+// outcomes returns the outcomes of the orders of a lost deputy: those that it was not
+// given yet were not sent, that of the others is unknown.
+func (p *deputy) outcomes() []leader.OrderAnswered {
+	var all []leader.OrderAnswered
+	add := func(o leader.Order, outcome leader.Outcome) {
+		all = append(all, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome})
+	}
+	for _, c := range p.commands {
+		if c.Order != nil {
+			delete(p.orders, keyOf(*c.Order))
+			add(*c.Order, leader.NotSent)
+		}
+	}
+	for _, o := range p.orders {
+		add(o, leader.OutcomeUnknown)
+	}
+	return all
+}
+
+// moveFromLeader hands the leader's own workers beyond MaxLocal to deputies with
+// capacity left. The caller holds the lock.
+func (d *Delegator) moveFromLeader() {
+	if !d.rebalance || d.local <= d.MaxLocal {
+		return
+	}
+	d.rebalance = false
+	for id, a := range d.workers {
+		if d.local <= d.MaxLocal {
+			return
+		}
+		if a.deputy != nil {
+			continue
+		}
+		p := d.choose(a.watch.Zone)
+		if p == nil {
+			d.rebalance = true
+			return
+		}
+		d.local--
+		d.Local.Unwatch(leader.StopPolling{Worker: id})
+		d.group.Go(func() error {
+			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id})
+			return nil
+		})
+		d.assignTo(p, id, a.watch)
+	}
+}
+
+// assign assigns a worker to the leader or to a deputy and starts its polling. The
+// caller holds the lock.
+func (d *Delegator) assign(id string, watch leader.StartPolling) {
+	if d.local >= d.MaxLocal {
+		if p := d.choose(watch.Zone); p != nil {
+			d.assignTo(p, id, watch)
+			return
+		}
+		d.rebalance = true
+	}
+	d.local++
+	d.workers[id] = assignment{watch: watch}
+	d.Local.Watch(watch)
+}
+
+func (d *Delegator) assignTo(p *deputy, id string, watch leader.StartPolling) {
+	p.workers++
+	d.workers[id] = assignment{watch: watch, deputy: p}
+	p.put(Command{Watch: &watch})
+}
+
+// choose returns the deputy for a worker in a zone: one with capacity left, the
+// strongest, then one in the same zone, then the one with the least to do. It returns
+// nil if none has capacity left.
+func (d *Delegator) choose(zone string) *deputy {
+	var best *deputy
+	for _, p := range d.deputies {
+		if p.workers >= p.capacity {
+			continue
+		}
+		if best == nil || p.preferable(best, zone) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (p *deputy) preferable(other *deputy, zone string) bool {
+	if p.capacity != other.capacity {
+		return p.capacity > other.capacity
+	}
+	if near := p.entry.Zone == zone; near != (other.entry.Zone == zone) {
+		return near
+	}
+	if p.workers != other.workers {
+		return p.workers < other.workers
+	}
+	return p.entry.Name < other.entry.Name
+}
+
+// put queues a command. The caller holds the delegator's lock.
+func (p *deputy) put(c Command) {
+	p.commands = append(p.commands, c)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send passes the commands of a deputy on, batch by batch, until the context ends.
+func (d *Delegator) send(ctx context.Context, p *deputy) {
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-check.C:
+			d.checkReports(p)
+			continue
+		case <-p.wake:
+		}
+		d.mu.Lock()
+		batch := Commands{Epoch: d.Epoch, Session: p.session, Lease: d.Lease, List: p.commands}
+		p.commands = nil
+		d.mu.Unlock()
+		bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+		err := d.Link.Command(bounded, p.entry.Name, batch)
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				d.mu.Lock()
+				d.lose(p, err.Error())
+				d.mu.Unlock()
+			}
+			return
+		}
+		timer.Sleep(ctx, flushInterval)
+	}
+}
+
+// checkReports loses a deputy that has workers and does not report.
+func (d *Delegator) checkReports(p *deputy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.workers > 0 && time.Since(p.reported) > MaxGrant {
+		d.lose(p, "it does not report")
+	}
+}
+
+// Watch starts the polling of a worker.
+func (d *Delegator) Watch(e leader.StartPolling) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.release(e.Worker)
+	d.assign(e.Worker, e)
+}
+
+// Unwatch stops the polling of a worker.
+func (d *Delegator) Unwatch(e leader.StopPolling) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.release(e.Worker)
+}
+
+// release takes a worker from whoever calls it. The caller holds the lock.
+func (d *Delegator) release(id string) {
+	a, ok := d.workers[id]
+	if !ok {
+		return
+	}
+	delete(d.workers, id)
+	if a.deputy == nil {
+		d.local--
+		d.Local.Unwatch(leader.StopPolling{Worker: id})
+		return
+	}
+	a.deputy.workers--
+	a.deputy.put(Command{Unwatch: id})
+}
+
+// Poll polls a worker at once.
+func (d *Delegator) Poll(e leader.PollNow) {
+	if p := d.lockDeputy(e.Worker); p != nil {
+		defer d.mu.Unlock()
+		p.put(Command{Poll: e.Worker})
+		return
+	}
+	d.Local.Poll(e)
+}
+
+// Acknowledge lets a worker forget ended runs with the next poll.
+func (d *Delegator) Acknowledge(e leader.Acknowledge) {
+	if p := d.lockDeputy(e.Worker); p != nil {
+		defer d.mu.Unlock()
+		p.put(Command{Ack: &e})
+		return
+	}
+	d.Local.Acknowledge(e)
+}
+
+// Order sends an order to a worker.
+func (d *Delegator) Order(o leader.Order) {
+	if p := d.lockDeputy(o.Worker); p != nil {
+		defer d.mu.Unlock()
+		p.orders[keyOf(o)] = o
+		p.put(Command{Order: &o})
+		return
+	}
+	d.Local.Order(o)
+}
+
+// lockDeputy returns the deputy that calls a worker, with the delegator locked, or
+// nil and the delegator unlocked if the leader calls it.
+func (d *Delegator) lockDeputy(worker string) *deputy {
+	d.mu.Lock()
+	if a, ok := d.workers[worker]; ok && a.deputy != nil {
+		return a.deputy
+	}
+	d.mu.Unlock()
+	return nil
+}
+
+// Report submits the events of a deputy and reports whether it is confirmed: not if
+// the leader itself was not confirmed lately. An error means that the session is over.
+func (d *Delegator) Report(entry string, e Events) (bool, error) {
+	now := time.Now()
+	d.mu.Lock()
+	p, ok := d.deputies[entry]
+	if !ok || p.session != e.Session || e.Epoch != d.Epoch {
+		d.mu.Unlock()
+		return false, errOutdated
+	}
+	p.reported = now
+	if p.began.IsZero() {
+		p.began = now.Add(-e.Now)
+	}
+	for _, event := range e.List {
+		if a := event.Answer; a != nil {
+			delete(p.orders, orderKey{a.Worker, a.Kind, a.Task, a.Run})
+		}
+	}
+	began := p.began
+	d.mu.Unlock()
+	for _, event := range e.List {
+		d.submit(event, began.Add(event.At))
+	}
+	return d.MayGrant(), nil
+}
+
+// submit submits an event of a deputy that happened at a time.
+func (d *Delegator) submit(e Event, at time.Time) {
+	switch {
+	case e.Report != nil:
+		d.Sink.Submit(d.Epoch, leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: at, Deadline: e.Report.Deadline})
+	case e.Failed != nil:
+		d.Sink.Submit(d.Epoch, *e.Failed)
+	case e.Answer != nil:
+		answer := *e.Answer
+		answer.At = at
+		d.Sink.Submit(d.Epoch, answer)
+	}
+}
--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -54,14 +54,14 @@
 	Lead    keeper.LeaderRecord
 	Appends metrics.Timer
 
-	mu           sync.Mutex
-	pending      map[ledger.ID]pendingRecord
-	order        []ledger.ID
-	expired      []ledger.ID
-	wake         chan struct{}
-	sequence     int64
-	latency      time.Duration // moving average of successful appends
-	lastAppended atomic.Int64  // time of the last successful append, Unix nanoseconds
+	mu       sync.Mutex
+	pending  map[ledger.ID]pendingRecord
+	order    []ledger.ID
+	expired  []ledger.ID
+	wake     chan struct{}
+	sequence int64
+	latency  time.Duration             // moving average of successful appends
+	lastSent atomic.Pointer[time.Time] // when the last successful append was first sent
 }
 
 // pendingRecord is the latest unwritten record of a job, and the batch of the
@@ -110,8 +110,15 @@
 	return r.wake
 }
 
-// LastConfirmed returns when the log last accepted an append of this leader.
-func (r *Recorder) LastConfirmed() time.Time { return time.Unix(0, r.lastAppended.Load()) }
+// LastConfirmed returns the latest time since which the log is known to have accepted
+// an append of this leader: when that append was first sent. Its answer may arrive
+// much later, after another entry has taken over.
+func (r *Recorder) LastConfirmed() time.Time {
+	if sent := r.lastSent.Load(); sent != nil {
+		return *sent
+	}
+	return time.Time{}
+}
 
 // batch is one append.
 type batch struct {
@@ -126,7 +133,8 @@
 	r.mu.Lock()
 	wake := r.wakeChannel()
 	r.mu.Unlock()
-	r.lastAppended.Store(time.Now().UnixNano())
+	started := time.Now()
+	r.lastSent.Store(&started)
 	heartbeat := time.NewTimer(0)
 	defer heartbeat.Stop()
 	for {
@@ -208,6 +216,7 @@
 func (r *Recorder) append(ctx context.Context, b batch) bool {
 	r.sequence++
 	timeout := min(max(firstTimeout, timeoutFactor*r.latency), longestTimeout)
+	firstSent := time.Now()
 	for attempt := 0; ; attempt++ {
 		began := time.Now()
 		_, err := r.Log.Append(ctx, replicator.Append{
@@ -218,7 +227,7 @@
 			if attempt > 0 {
 				r.Logger.WithField("attempt", attempt).Info("log accepts records again")
 			}
-			r.lastAppended.Store(time.Now().UnixNano())
+			r.lastSent.Store(&firstSent)
 			r.latency += time.Duration(latencyWeight * float64(time.Since(began)-r.latency))
 			return true
 		}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/endivelock/endivelock/internal/commands/acceptor"
 	"github.com/endivelock/endivelock/internal/commands/adviser"
 	"github.com/endivelock/endivelock/internal/commands/commander"
+	"github.com/endivelock/endivelock/internal/commands/delegator"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
 	"github.com/endivelock/endivelock/internal/commands/relayer"
 	"github.com/endivelock/endivelock/internal/controller"
@@ -138,6 +139,7 @@
 	relayer     *relayer.Relayer
 	journal     *recorder.Journal
 	adviser     *adviser.Adviser
+	deputy      *delegator.Deputy
 	config      atomic.Pointer[router.Config]
 	draining    atomic.Bool
 	ctx         context.Context
@@ -164,6 +166,8 @@
 	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Logger: logger}
 	e.Inspector = &inspector.Inspector{Viewer: e.controller, Leader: e.linker, Replica: e}
 	e.linker.Inspector = e.Inspector
+	e.deputy = &delegator.Deputy{Workers: p.Workers, Leader: e.linker, Logger: logger, Polls: e.metricTimer("deputy.looks"), Orders: e.metricTimer("deputy.orders")}
+	e.linker.Deputy, e.linker.Delegator, e.linker.OnLinked = e.deputy, e.delegator, e.updateDeputies
 	e.registerMetrics()
 	return e
 }
@@ -174,6 +178,7 @@
 		LeaderTimeout:      leaderTimeout,
 		LinkLostTimeout:    linkLostTimeout,
 		UnreachableTimeout: unreachableTimeout,
+		MaxGrant:           delegator.MaxGrant,
 		Retention:          2 * e.settings.Keep,
 
 		ReplicaDelay:    replicaDelay,
@@ -242,6 +247,7 @@
 	stop()
 	<-done
 	_ = e.group.Wait()
+	e.deputy.Wait()
 	e.logger.Info("entry stopped")
 	return nil
 }
@@ -294,6 +300,7 @@
 	}})
 	tree.Add(e.every("ticks", tickPeriod, e.tick))
 	tree.Add(e.every("survey", countsPeriod, e.logCounts))
+	tree.Add(e.every("deputies", countsPeriod, e.updateDeputies))
 	tree.Add(e.configFollower())
 	tree.Add(e.leadsFollower())
 	var servers []*server
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -11,11 +11,13 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/commands/commander"
+	"github.com/endivelock/endivelock/internal/commands/delegator"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
+	"github.com/endivelock/endivelock/internal/linker"
 	"github.com/endivelock/endivelock/internal/replicator"
 	"github.com/endivelock/endivelock/internal/timer"
 )
@@ -40,6 +42,7 @@
 	group     errgroup.Group
 	recorder  *recorder.Recorder
 	commander *commander.Commander
+	delegator *delegator.Delegator
 	workers   map[string]leader.Listing // listed workers as last submitted to the leader
 }
 
@@ -130,6 +133,13 @@
 		LastConfirmed: c.recorder.LastConfirmed, Polls: e.metricTimer("worker.looks"), Orders: e.metricTimer("worker.orders"),
 	}
 	c.commander.Start(ctx)
+	c.delegator = &delegator.Delegator{
+		Local: c.commander, Link: e.linker, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: c.commander.Lease,
+		MayGrant: func() bool {
+			return timer.Elapsed(c.recorder.LastConfirmed(), time.Now()) < renewalWindow-delegator.MaxGrant
+		},
+	}
+	c.delegator.Start(ctx)
 	workers := &replicator.Follower{
 		Stream: e.ports.Platform.WorkerStream(), Reader: e.ports.Platform, Logger: logger, PollTimeout: readWait, From: -1,
 		Pause:  func() time.Duration { return workersPause },
@@ -144,6 +154,7 @@
 	e.mu.Lock()
 	e.active = c
 	e.mu.Unlock()
+	e.updateDeputies()
 	e.group.Go(func() error {
 		e.controller.Submit(keeper.LeaderEvent{Epoch: epoch, Event: leader.CallersChanged{Callers: e.linker.Callers()}})
 		return nil
@@ -193,6 +204,26 @@
 	return e.active
 }
 
+// delegator returns the delegator of this entry while it leads.
+func (e *Entry) delegator() (linker.Delegator, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.active == nil {
+		return nil, false
+	}
+	return e.active.delegator, true
+}
+
+// updateDeputies passes the linked entries on to the delegator, if this entry leads.
+func (e *Entry) updateDeputies() {
+	e.mu.Lock()
+	c := e.active
+	e.mu.Unlock()
+	if c != nil {
+		c.delegator.SetEntries(e.linker.Entries())
+	}
+}
+
 // stopLeading stops the services of a leader and follows the runs again.
 func (e *Entry) stopLeading(r keeper.Resign) {
 	c := e.activeAt(r.Epoch)
@@ -215,6 +246,7 @@
 			e.publishLead(bounded, keeper.LeaderRecord{Epoch: r.Epoch}, firstLeadRecord+1)
 		}
 		e.follow(e.runsFollower())
+		c.delegator.Wait()
 		c.commander.Wait()
 		return nil
 	})
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -60,15 +60,15 @@
 	case leader.Record:
 		c.recorder.Put(f)
 	case leader.Order:
-		c.commander.Order(f)
+		c.delegator.Order(f)
 	case leader.StartPolling:
-		c.commander.Watch(f)
+		c.delegator.Watch(f)
 	case leader.StopPolling:
-		c.commander.Unwatch(f)
+		c.delegator.Unwatch(f)
 	case leader.PollNow:
-		c.commander.Poll(f)
+		c.delegator.Poll(f)
 	case leader.Acknowledge:
-		c.commander.Acknowledge(f)
+		c.delegator.Acknowledge(f)
 	case leader.RequestAdvice:
 		e.requestAdvice(c, f)
 	case leader.Wake:
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -321,7 +321,7 @@
 	}
 	policy := t.policy.Leader
 	if t.leaderInactive() {
-		policy.MaxStaleRenewal = 0 // an inactive leader renews no leases
+		policy.MaxStaleRenewal = min(policy.MaxStaleRenewal, t.policy.MaxGrant) // it renews no leases itself
 	}
 	t.role, t.leadingSince = Leading, t.now
 	t.maxPeerShare = t.Self.CPUShare // peers report theirs when they link
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -52,6 +52,7 @@
 	LeaderTimeout      time.Duration // silence of the leader after which it is replaced
 	LinkLostTimeout    time.Duration // the same if the link to the leader is lost
 	UnreachableTimeout time.Duration // the same if no process answers at its address
+	MaxGrant           time.Duration // how long entries that call workers for a leader go on when it has stopped
 	Retention          time.Duration // how long the state of an ended job is kept
 	// ReplicaDelay is how long an entry without a link to a leader waits before it
 	// replicates the streams in order to be able to lead. An entry with a full
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -45,6 +45,7 @@
 type StartPolling struct {
 	Worker  string
 	Address string
+	Zone    string
 }
 
 // StopPolling stops the polling of a worker.
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -59,6 +59,7 @@
 // Report is a worker's report of executing runs and of ends that have not been
 // acknowledged.
 type Report struct {
+	Partial     bool  // Running is left out; nothing follows from a run that is not listed
 	Incarnation int64 // incarnation of the worker
 	Clock       int64 // monotonic clock of the worker, in milliseconds
 	Running     []RunStatus
@@ -69,7 +70,7 @@
 type Reported struct {
 	Worker   string
 	Report   Report
-	Sent     time.Time // when the worker was polled
+	Sent     time.Time // when the worker was polled, by the clock of OrderAnswered.At
 	Deadline int64     // end of the lease sent with the poll, on the worker's clock, in milliseconds
 }
 
@@ -79,6 +80,11 @@
 	Deadline int64 // as in Reported: the lease may have arrived
 }
 
+// PollerLost reports that nothing is known any more of the polls that were sent to a
+// worker: whoever sent them may have renewed the leases there and go on for as long
+// as a deposed leader.
+type PollerLost struct{ Worker string }
+
 // Committed reports that all batches of records up to Batch are in the log.
 type Committed struct{ Batch int64 }
 
@@ -93,6 +99,7 @@
 	InvalidTicket                       // refused because its ticket is not valid
 	InsufficientCapacity                // refused because the worker lacks room
 	StaleRun                            // refused because the worker knows this run or a later one of the task
+	NotSent                             // not sent, since the sender's permission had expired
 )
 
 // OrderAnswered reports the outcome of an order.
@@ -102,6 +109,7 @@
 	Task    ledger.TaskID
 	Run     int
 	Outcome Outcome
+	At      time.Time // when the answer arrived; zero for the time of the event
 }
 
 // Permit is the permission, proved by a ticket, for a worker to run tasks of a step.
@@ -131,6 +139,7 @@
 	_ Event = Unlisted{}
 	_ Event = Reported{}
 	_ Event = PollFailed{}
+	_ Event = PollerLost{}
 	_ Event = Committed{}
 	_ Event = OrderAnswered{}
 	_ Event = AdviceAnswered{}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -27,7 +27,7 @@
 	w = w.WithListing(e.Listing, t.now)
 	t.setWorker(w)
 	if !watched || moved {
-		t.emit(StartPolling{Worker: w.ID, Address: w.Address})
+		t.emit(StartPolling{Worker: w.ID, Address: w.Address, Zone: w.Zone})
 		t.emit(Decision{What: "list", Worker: w.ID, Why: w.Service + " at " + w.Address})
 	}
 	if startsDraining {
@@ -71,6 +71,14 @@
 	t.expireLeases(w)
 }
 
+func (e PollerLost) apply(t *transition) {
+	w, ok := t.workers.Get(e.Worker)
+	if !ok {
+		return
+	}
+	t.setWorker(w.WithUnknownLeases(t.now.Add(t.unknownLease())))
+}
+
 // expireLeases gives up the runs at an unreachable worker once its leases have
 // expired.
 func (t *transition) expireLeases(w Worker) {
@@ -112,11 +120,13 @@
 	w = w.WithReport(e.Report, e.Deadline, t.policy.Lease, t.now)
 	t.setWorker(w)
 	t.handleEnds(w, e.Report)
-	if !outdated {
+	if !outdated && !e.Report.Partial {
 		t.loseAbsent(w.ID, e, t.handleRunning(w.ID, e), restarted)
 	}
 	w, _ = t.workers.Get(w.ID)
-	t.throttle(w)
+	if !e.Report.Partial {
+		t.throttle(w)
+	}
 	t.removeIfUnused(w)
 }
 
@@ -240,20 +250,24 @@
 	if !ok {
 		return
 	}
+	at := e.At
+	if at.IsZero() {
+		at = t.now
+	}
 	switch e.Kind {
 	case OrderStart:
-		t.handleStartOutcome(w, p, e.Outcome)
+		t.handleStartOutcome(w, p, e.Outcome, at)
 	case OrderStop:
 		if e.Outcome == Executed && p.Stage == Stopping {
-			t.putPlacement(w, p.WithAnswer(t.now))
+			t.putPlacement(w, p.WithAnswer(at))
 			t.emit(PollNow{Worker: w.ID})
 		}
 	}
 }
 
 // handleStartOutcome processes the outcome of a start order.
-func (t *transition) handleStartOutcome(w Worker, p Placement, o Outcome) {
-	if p.Stage == Stopping && (o == Refused || o == InvalidTicket || o == InsufficientCapacity) {
+func (t *transition) handleStartOutcome(w Worker, p Placement, o Outcome, at time.Time) {
+	if p.Stage == Stopping && (o == Refused || o == InvalidTicket || o == InsufficientCapacity || o == NotSent) {
 		t.loseRun(w, p, "worker refused the start")
 		return
 	}
@@ -262,7 +276,7 @@
 	}
 	switch o {
 	case Executed:
-		p = p.WithStage(Running).WithAnswer(t.now)
+		p = p.WithStage(Running).WithAnswer(at)
 		p.StartedAt = t.now
 		t.putPlacement(w, p)
 	case OutcomeUnknown:
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -43,6 +43,7 @@
 	ReportedAt          time.Time // when the last report arrived
 	ReportedClock       int64     // monotonic clock of the worker in that report, in milliseconds
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
+	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
 	UsedByStopping      ledger.Resources // part of Used that pending stops will free
@@ -168,11 +169,27 @@
 // leaseExpiry returns the time by which all runs at an unreachable worker have ended
 // because its leases have expired, allowing for clock drift.
 func (w Worker) leaseExpiry(s State) time.Time {
-	if w.ReportedAt.IsZero() {
-		return s.leadingSince.Add(s.policy.MaxStaleRenewal + onSlowestClock(s.policy.Lease))
+	expiry := s.leadingSince.Add(s.unknownLease())
+	if !w.ReportedAt.IsZero() {
+		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
+		expiry = w.ReportedAt.Add(onSlowestClock(max(left, 0)))
 	}
-	left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
-	return w.ReportedAt.Add(onSlowestClock(max(left, 0)))
+	if w.LeasesUntil.After(expiry) {
+		return w.LeasesUntil
+	}
+	return expiry
+}
+
+// unknownLease returns how long a lease may be in force that another entry has sent
+// or may still send, since it does not know yet that it must not.
+func (s State) unknownLease() time.Duration {
+	return s.policy.MaxStaleRenewal + onSlowestClock(s.policy.Lease)
+}
+
+// WithUnknownLeases returns the worker with leases in force up to a time.
+func (w Worker) WithUnknownLeases(until time.Time) Worker {
+	w.LeasesUntil = until
+	return w
 }
 
 // onSlowestClock returns the longest real time in which d passes on a worker's
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -40,6 +40,10 @@
 		return l.handleTell(*r.Params)
 	case methodResign:
 		return l.handleResign(*r.Params)
+	case methodDo:
+		return l.handleDo(*r.Params)
+	case methodEvents:
+		return l.handleEvents(rpc, *r.Params)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + r.Method + " is not known"}
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivelock/endivelock/internal/classifier"
+	"github.com/endivelock/endivelock/internal/commands/delegator"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -58,6 +59,8 @@
 	methodAppend = "append"
 	methodTell   = "tell"
 	methodCounts = "counts"
+	methodDo     = "do"
+	methodEvents = "events"
 )
 
 type helloMessage struct {
@@ -156,6 +159,18 @@
 	Counts(ctx context.Context) (map[string]int, error)
 }
 
+// Deputy calls workers for the leader.
+type Deputy interface {
+	// Do accepts a batch of commands. The context bounds the work that follows.
+	Do(ctx context.Context, c delegator.Commands) error
+}
+
+// Delegator takes the events of deputies while this entry leads.
+type Delegator interface {
+	// Report takes a batch and returns whether the deputy is confirmed.
+	Report(entry string, e delegator.Events) (bool, error)
+}
+
 // Linker is both ends of the protocol. Set the exported fields, then call Listen
 // and Serve.
 type Linker struct {
@@ -164,6 +179,9 @@
 	Journal     Journal
 	Adviser     Adviser
 	Inspector   Inspector
+	Deputy      Deputy
+	Delegator   func() (Delegator, bool)        // the delegator of this entry while it leads
+	OnLinked    func()                          // called when an entry was linked or is no longer; may be nil
 	Log         Appender                        // direct access to the log, without a relay
 	OnAnnounced func(values []replicator.Value) // called with values that another entry has added to the stream of jobs
 	Logger      logrus.FieldLogger
@@ -174,6 +192,7 @@
 	standbys  []string          // entries that are to be able to take over
 	chosenAt  time.Time         // when the standbys were chosen
 	leader    *jsonrpc2.Conn    // link to the leader, nil if there is none
+	ctx       context.Context   // of Listen, bounds the work for the leader
 	lastRelay string            // entry that last relayed an append for this one
 	addresses map[string]string // last known addresses of entries, by name
 	known     int64             // version of the leader's entries in addresses
@@ -190,6 +209,9 @@
 
 // Listen serves the connections of other entries until the context ends.
 func (l *Linker) Listen(ctx context.Context, on net.Listener) error {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
 	return listener.Serve(ctx, on, l.serveConn)
 }
 
@@ -335,6 +357,9 @@
 		l.Sink.Submit(keeper.PeersSeen{MaxCPUShare: strongest})
 	}
 	l.Sink.Submit(keeper.LeaderEvent{Epoch: s.Lead().Epoch, Event: leader.CallersChanged{Callers: l.Callers()}})
+	if l.OnLinked != nil {
+		l.OnLinked()
+	}
 }
 
 // Callers returns the sorted names of this entry and of those linked to it: the
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -80,6 +80,13 @@
 // String returns the name that a supervisor logs instead of the fields.
 func (t *Timer) String() string { return "timer" }
 
+// Elapsed returns the time from one time to another, by the monotonic or by the
+// wall clock, whichever shows more. The monotonic clock stands still while an
+// instance is suspended, so a permission that expires needs both.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // Sleep waits for d or until the context ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
