--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -91,8 +91,9 @@
 		return
 	}
 	c := s.Leader().Counts(time.Now())
+	events, spent := e.controller.Cost()
 	e.logger.WithFields(logrus.Fields{
 		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded,
-		"asks": c.AdviceCalls, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory,
+		"asks": c.AdviceCalls, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
 	}).Info("cell")
 }
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -14,9 +14,10 @@
 // queueLength bounds the lines that are queued or being written. At 300 bytes a line it is about 1 MB.
 const queueLength = 4096
 
-// maxWriteBytes is the size from which lines that wait are not added to a write.
+// maxWriteBytes is the size from which lines that wait are not added to a write. Pipes
+// keep writes of up to 4 KB whole.
 // Each write is a system call, whatever its size.
-const maxWriteBytes = 32 << 10
+const maxWriteBytes = 3 << 10
 
 // Spooler is an asynchronous writer; each Write is one line. Create it with New.
 type Spooler struct {
