Judge hanging runs by reports that list them; keep leases of lost pollers in force

A leader's catching up read its own runs from the log at each unknown job.

Change: only reports that list running tasks count. A lost deputy leaves leases in force that nobody knows of; the worker keeps its tasks until these must have expired. The oracle of the leader's simulation has partial reports and lost deputies.

--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/keeper"
+	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/replicator"
 	"github.com/endivelock/endivelock/internal/timer"
 )
@@ -158,7 +159,11 @@
 
 func (e *Entry) jobsRead(b replicator.Batch) keeper.JobsRead {
 	read := keeper.JobsRead{Next: b.Next, Snapshot: b.Snapshot}
+	known := e.controller.Snapshot()
 	for _, v := range b.Values {
+		if _, ok := known.Job(ledger.ID(v.Name)); ok && v.Data != nil {
+			continue // the first record of a job counts; it was applied when it was written or read before
+		}
 		c, err := encoder.JobChange(v)
 		if err != nil {
 			e.logger.WithError(err).Error("record ignored, since decoding it failed")
@@ -219,13 +224,19 @@
 		return errors.Wrap(ctx.Err(), "wait for others who read the log")
 	}
 	defer func() { <-e.catchUpSlot }()
-	if s := e.controller.Snapshot(); !s.Synced() && s.Role() != keeper.Leading {
+	s := e.controller.Snapshot()
+	if !s.Synced() && s.Role() != keeper.Leading {
 		return errNoReplica
 	}
 	jobs, err := e.readJobs(ctx)
 	if err != nil {
 		return err
 	}
+	if s.Role() == keeper.Leading {
+		// A leader has written all runs itself.
+		_, err = e.controller.Await(ctx, func(s keeper.State) bool { return s.Offset(keeper.Jobs) >= jobs })
+		return errors.Wrap(err, "read the jobs up to their end")
+	}
 	from := e.controller.Snapshot().Offset(keeper.Runs)
 	if from < 0 {
 		return errors.New("runs not read yet")
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -102,6 +102,16 @@
 		},
 		"look":  func(*rapid.T) { sm.poll(worker(), pick(6) > 0) },
 		"looks": func(*rapid.T) { sm.pollAll() },
+		"ends": func(*rapid.T) {
+			sm.partial = true
+			sm.poll(worker(), true)
+			sm.partial = false
+		},
+		"deputy": func(*rapid.T) {
+			if pick(4) == 0 {
+				sm.losePoller(worker())
+			}
+		},
 		"end": func(*rapid.T) {
 			target := sm.workers[worker()]
 			if keys := sortedKeys(target.running); len(keys) > 0 {
--- /dev/null
+++ b/internal/leader/report_test.go
@@ -0,0 +1,83 @@
+package leader_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+// reportEnds applies a partial report, which leaves out the executing runs.
+func (h *harness) reportEnds(id string, ended ...leader.RunEnd) {
+	r := leader.Report{Partial: true, Incarnation: 1, Clock: h.now.UnixMilli(), Ended: ended}
+	h.apply(leader.Reported{Worker: id, Report: r, Sent: h.now, Deadline: h.now.Add(testLease).UnixMilli()})
+}
+
+// startedRun returns a harness whose single worker executes one task.
+func startedRun(t *testing.T) *harness {
+	h := newHarness(t, 1, ledger.Resources{CPU: 2000, Memory: 8000})
+	h.submit("j", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, Estimate: time.Minute})
+	assert.Equal(t, len(h.running), 1)
+	return h
+}
+
+// Regression test (further-grown quiet-1): progress is reported less often than ends.
+// A run of which nothing was reported for a while counted as hung and was stopped,
+// and with it its whole gang.
+func TestARunIsNotHungWhileItsProgressIsNotReported(t *testing.T) {
+	h := startedRun(t)
+	h.advance(100 * time.Millisecond)
+	h.report("w00")
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+		h.reportEnds("w00")
+	}
+	assert.Equal(t, h.countOrders(leader.OrderStop), 0)
+	h.report("w00") // the same progress as 5 s ago
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, h.countOrders(leader.OrderStop), 1)
+}
+
+// A partial report says nothing about the runs that it leaves out.
+func TestPartialReportsLoseNoRuns(t *testing.T) {
+	h := startedRun(t)
+	h.advance(time.Second)
+	h.reportEnds("w00")
+	h.advance(time.Second)
+	assert.Equal(t, h.countOrders(leader.OrderStart), 1)
+}
+
+// An entry that polls for the leader renews leases up to the moment that it is lost,
+// and may go on for as long as a deposed leader. A worker that is silent from then on
+// keeps its task until these leases have expired, too.
+func TestTheLeasesOfALostPollerStayInForce(t *testing.T) {
+	h := startedRun(t)
+	h.report("w00")
+	h.advance(time.Second)
+	h.apply(leader.PollerLost{Worker: "w00"})
+	lost := h.now
+	h.submit("other", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 2000}})
+	h.apply(leader.PollFailed{Worker: "w00"})
+	for h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute {
+		h.advance(100 * time.Millisecond)
+	}
+	const staleRenewal = 5 * time.Second
+	assert.Assert(t, h.now.Sub(lost) >= staleRenewal+testLease, "given up after %v", h.now.Sub(lost))
+	assert.Assert(t, h.now.Sub(lost) < staleRenewal+testLease+time.Second, "given up after %v", h.now.Sub(lost))
+}
+
+// lostRuns returns the number of runs that were given up: their tasks wait again.
+func (h *harness) lostRuns() int {
+	n := 0
+	for _, p := range h.records {
+		for _, task := range p.Step(0, 0) {
+			if task.Run > 0 && task.Phase == ledger.Idle {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -113,6 +113,23 @@
 	starts         int
 	pause          time.Duration // between placement passes
 	wakePending    bool          // a Wake has been emitted and not answered
+	partial        bool          // reports leave out the executing runs
+}
+
+// losePoller polls a worker through an entry that is lost before the leader hears of
+// it: the leases are renewed, and orders that it was given may be carried out later.
+func (sm *simulation) losePoller(id string) {
+	target := sm.workers[id]
+	if !target.partitioned {
+		target.fence = max(target.fence, sm.epoch)
+		target.leaseEnd = later(target.leaseEnd, sm.now.Add(testLease))
+	}
+	sm.apply(leader.PollerLost{Worker: id})
+	for _, s := range slices.Clone(sm.orders) {
+		if s.order.Worker == id {
+			sm.answer(s, leader.OutcomeUnknown)
+		}
+	}
 }
 
 func newSimulation(t *rapid.T, count int, pause time.Duration) *simulation {
@@ -339,6 +356,9 @@
 		percent := min(99, int(sm.now.Sub(running.began)/(20*time.Millisecond)))
 		r.Running = append(r.Running, leader.RunStatus{Task: running.task.String(), Number: running.number, Percent: percent})
 	}
+	if sm.partial {
+		r.Partial, r.Running = true, nil
+	}
 	sm.apply(leader.Reported{Worker: id, Report: r, Sent: sm.now, Deadline: sm.clock() + testLease.Milliseconds()})
 }
 
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	w, _ := t.workers.Get(job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Worker)
-	return w.ReportedAt.Sub(p.ProgressedAt) > hangTimeout
+	return w.RunsReportedAt.Sub(p.ProgressedAt) > hangTimeout
 }
 
 // trackFailures counts the consecutive failed runs of a worker and excludes it
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -41,6 +41,7 @@
 	Reachability        Reachability
 	ReportedIncarnation int64     // incarnation in the last report, 0 before the first
 	ReportedAt          time.Time // when the last report arrived
+	RunsReportedAt      time.Time // when the last report arrived that lists the running tasks
 	ReportedClock       int64     // monotonic clock of the worker in that report, in milliseconds
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
@@ -133,6 +134,9 @@
 		w.LeaseDeadline = r.Clock + longest.Milliseconds()
 	}
 	w.Reachability = Reachable
+	if !r.Partial {
+		w.RunsReportedAt = now
+	}
 	if r.Clock >= w.ReportedClock {
 		w.ReportedAt, w.ReportedClock = now, r.Clock
 	}
