Bound what a placement pass looks at under a backlog

Change: a pass that found no idle caller stops looking; an estimate is made anew halfway; a pass ends after a number of steps without room.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -107,8 +107,13 @@
 // requestAdvice has an idle entry call for advice on a step.
 func (p *placementPass) requestAdvice(r stepRef, have permits) {
 	advice := r.job.Job.Queue.Advice
-	caller, ok := p.idleCaller(advice.PerCall >= longCallTime)
-	if !ok || p.failedSearches >= maxFailedSearches {
+	long := advice.PerCall >= longCallTime
+	if p.callersBusy[long] || p.failedSearches >= maxFailedSearches {
+		return
+	}
+	caller, ok := p.idleCaller(long)
+	if !ok {
+		p.callersBusy[long] = true // none becomes idle during the pass
 		return
 	}
 	queried := p.chooseNominees(r, have)
@@ -162,9 +167,12 @@
 // time of the answer.
 func (p *placementPass) prefetchAdvice() {
 	for key := range p.prefetch.From(minScore) {
+		if due, ok := p.prefetchDue.Get(key); ok && p.now.Before(due) {
+			continue
+		}
 		r, ok := p.resolveStep(key)
 		if !ok {
-			p.prefetch = p.prefetch.Without(key)
+			p.unrankPrefetch(key)
 			continue
 		}
 		have, _ := p.permits.Get(key)
@@ -172,12 +180,20 @@
 		if have.calling || len(have.tickets) > 0 && p.now.Before(have.lastExpiry) {
 			continue
 		}
-		if p.timeUntilReady(r) <= advice.PerCall+minQueried*advice.PerWorker+answerOverhead {
+		early := p.timeUntilReady(r) - (advice.PerCall + minQueried*advice.PerWorker + answerOverhead)
+		if early <= 0 {
 			p.requestAdvice(r, have)
+			continue
 		}
+		// Runs may end sooner than estimated, so the next look comes halfway.
+		p.prefetchDue = p.prefetchDue.With(key, p.now.Add(max(early/2, minPrefetchPause)))
 	}
 }
 
+// minPrefetchPause is the least time between two estimates of when a step becomes
+// ready. Each visits all tasks of the steps before it.
+const minPrefetchPause = 25 * time.Millisecond
+
 // timeUntilReady estimates the time until the steps before a step are done.
 func (p *placementPass) timeUntilReady(r stepRef) time.Duration {
 	var longest time.Duration
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -140,7 +140,7 @@
 			t.permits = t.permits.Without(key)
 			t.runTimes = t.runTimes.Without(key)
 			t.unrankStep(key)
-			t.prefetch = t.prefetch.Without(key)
+			t.unrankPrefetch(key)
 		}
 	}
 }
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -139,12 +139,16 @@
 		soon = soon && !anyIdle(job.Progress.Step(round, before))
 	}
 	if !soon {
-		t.prefetch = t.prefetch.Without(key)
+		t.unrankPrefetch(key)
 		return
 	}
 	t.prefetch = t.prefetch.With(key, t.urgency(job, round, step))
 }
 
+func (t *transition) unrankPrefetch(key string) {
+	t.prefetch, t.prefetchDue = t.prefetch.Without(key), t.prefetchDue.Without(key)
+}
+
 func anyIdle(tasks []ledger.Task) bool {
 	for _, task := range tasks {
 		if task.Phase == ledger.Idle {
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -19,6 +19,8 @@
 	fittingIndex   []int                 // index in slots of each in fitting
 	matchCache     map[requirement][]int // candidates that meet each requirement
 	callCounts     map[string]int        // advice calls in progress by worker that they query, nil until counted
+	callersBusy    map[bool]bool         // no entry is idle for a long (true) or short call
+	fullSteps      int                   // steps with tickets and without room
 	failedSearches int                   // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 }
@@ -33,11 +35,14 @@
 	}
 	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
-	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}}
+	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
 	for key := range t.waiting.From(minScore) {
 		if r, ok := t.resolveStep(key); ok {
 			p.placeStep(r)
 		}
+		if p.fullSteps >= maxFullSteps {
+			break
+		}
 	}
 	for _, id := range p.rerank {
 		p.rankSteps(id)
@@ -45,6 +50,10 @@
 	p.prefetchAdvice()
 }
 
+// maxFullSteps is how many steps in one pass may find no room at the workers that they
+// may run on. Room is scarce then, and what there is belongs to the most urgent.
+const maxFullSteps = 150
+
 // minScore is less than the score of every ranked step.
 const minScore = -1 << 62
 
@@ -93,6 +102,7 @@
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
+			p.fullSteps++
 			p.preempt(r, eligible, counts)
 			return
 		}
