Test the delegator and its deputies

The tests name the load pattern and the failures: workers beyond the leader's own, a lost deputy, an expired permission, commands of earlier leaders, a new leader without links.

--- /dev/null
+++ b/internal/commands/delegator/delegator_test.go
@@ -0,0 +1,337 @@
+package delegator_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/endivelock/endivelock/internal/commands/commander"
+	"github.com/endivelock/endivelock/internal/commands/delegator"
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+const epoch = 7
+
+var errCut = errors.New("cut off")
+
+// workers are fake workers that record the deadlines and orders that they get.
+type workers struct {
+	mu        sync.Mutex
+	deadlines []int64
+	orders    []leader.Order
+	held      chan struct{} // if set, orders wait until it is closed
+}
+
+func (w *workers) Order(ctx context.Context, _ commander.Target, o leader.Order) error {
+	w.mu.Lock()
+	w.orders = append(w.orders, o)
+	held := w.held
+	w.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (w *workers) Poll(ctx context.Context, to commander.Target, _ int64, wait time.Duration) (leader.Report, error) {
+	w.mu.Lock()
+	w.deadlines = append(w.deadlines, to.Deadline)
+	w.mu.Unlock()
+	if wait > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return leader.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}, nil
+}
+
+func (w *workers) orderCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.orders)
+}
+
+// lastDeadline returns the lease deadline of the last poll, 0 if it renewed none.
+func (w *workers) lastDeadline() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.deadlines) == 0 {
+		return 0
+	}
+	return w.deadlines[len(w.deadlines)-1]
+}
+
+// sink records the events of the leader.
+type sink struct {
+	mu     sync.Mutex
+	events []leader.Event
+}
+
+func (s *sink) Submit(_ int64, e leader.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e)
+}
+
+// await waits until an event satisfies a condition.
+func (s *sink) await(t *testing.T, what string, is func(leader.Event) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, e := range s.events {
+			if is(e) {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// caller records what the leader calls itself.
+type caller struct {
+	mu      sync.Mutex
+	watched map[string]bool
+	orders  []leader.Order
+}
+
+func (c *caller) Watch(e leader.StartPolling) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watched == nil {
+		c.watched = map[string]bool{}
+	}
+	c.watched[e.Worker] = true
+}
+
+func (c *caller) Unwatch(e leader.StopPolling) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.watched, e.Worker)
+}
+
+func (c *caller) Poll(leader.PollNow)            {}
+func (c *caller) Acknowledge(leader.Acknowledge) {}
+
+func (c *caller) Order(o leader.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = append(c.orders, o)
+}
+
+func (c *caller) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.watched)
+}
+
+// cell is a leader and deputies that are linked in memory.
+type cell struct {
+	delegator *delegator.Delegator
+	local     *caller
+	sink      *sink
+	mu        sync.Mutex
+	deputies  map[string]*delegator.Deputy
+	workers   map[string]*workers // by deputy
+	cut       map[string]bool
+	grants    bool
+	ctx       context.Context
+}
+
+// Command passes commands on to a deputy.
+func (c *cell) Command(_ context.Context, entry string, commands delegator.Commands) error {
+	c.mu.Lock()
+	d, cut := c.deputies[entry], c.cut[entry]
+	c.mu.Unlock()
+	if cut || d == nil {
+		return errCut
+	}
+	return d.Do(c.ctx, commands)
+}
+
+// link is the link of one deputy to the leader.
+type link struct {
+	cell  *cell
+	entry string
+}
+
+func (l link) ReportEvents(_ context.Context, e delegator.Events) (bool, error) {
+	l.cell.mu.Lock()
+	cut := l.cell.cut[l.entry]
+	l.cell.mu.Unlock()
+	if cut {
+		return false, errCut
+	}
+	return l.cell.delegator.Report(l.entry, e)
+}
+
+func (c *cell) setGrants(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants = on
+}
+
+func (c *cell) setCut(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[entry] = true
+}
+
+// newCell returns a leader that calls maxLocal workers itself, and deputies of one
+// core each.
+func newCell(t *testing.T, maxLocal int, deputies ...string) *cell {
+	t.Helper()
+	logger, _ := test.NewNullLogger()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cell{local: &caller{}, sink: &sink{}, deputies: map[string]*delegator.Deputy{}, workers: map[string]*workers{}, cut: map[string]bool{}, grants: true, ctx: ctx}
+	c.delegator = &delegator.Delegator{
+		Local: c.local, Link: c, Sink: c.sink, Logger: logger, Epoch: epoch, Lease: 6 * time.Second, MaxLocal: maxLocal,
+		MayGrant: func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.grants
+		},
+	}
+	c.delegator.Start(ctx)
+	var entries []delegator.Entry
+	for _, name := range deputies {
+		w := &workers{}
+		c.workers[name] = w
+		c.deputies[name] = &delegator.Deputy{Workers: w, Leader: link{c, name}, Logger: logger, Polls: metrics.NewTimer(), Orders: metrics.NewTimer()}
+		entries = append(entries, delegator.Entry{Name: name, Zone: "z", CPUShare: 1})
+	}
+	c.delegator.SetEntries(entries)
+	t.Cleanup(func() {
+		cancel()
+		c.delegator.Wait()
+		for _, d := range c.deputies {
+			d.Wait()
+		}
+	})
+	return c
+}
+
+func watch(worker string) leader.StartPolling {
+	return leader.StartPolling{Worker: worker, Address: worker, Zone: "z"}
+}
+
+func start(worker string) leader.Order {
+	return leader.Order{Worker: worker, Address: worker, Kind: leader.OrderStart, Task: ledger.TaskID{Job: "j"}, Run: 1}
+}
+
+func reported(worker string) func(leader.Event) bool {
+	return func(e leader.Event) bool {
+		r, ok := e.(leader.Reported)
+		return ok && r.Worker == worker
+	}
+}
+
+func answered(outcome leader.Outcome) func(leader.Event) bool {
+	return func(e leader.Event) bool {
+		a, ok := e.(leader.OrderAnswered)
+		return ok && a.Outcome == outcome
+	}
+}
+
+// Load pattern: thousands of starts a second at hundreds of workers, each with a call
+// over HTTP. The leader keeps few workers to itself; deputies call the others and pass
+// on what they learn.
+func TestDeputiesCallTheWorkersBeyondTheLeadersOwn(t *testing.T) {
+	c := newCell(t, 1, "a", "b")
+	for i := range 5 {
+		c.delegator.Watch(watch(fmt.Sprintf("w%d", i)))
+	}
+	assert.Equal(t, c.local.count(), 1)
+	for i := 1; i < 5; i++ {
+		c.sink.await(t, "report", reported(fmt.Sprintf("w%d", i)))
+	}
+	c.delegator.Order(start("w0"))
+	assert.Equal(t, len(c.local.orders), 1)
+	c.delegator.Order(start("w1"))
+	c.sink.await(t, "outcome of the start", answered(leader.Executed))
+	assert.Equal(t, c.workers["a"].orderCount()+c.workers["b"].orderCount(), 1)
+}
+
+// The workers of a lost deputy get another caller at once. What it was told to do may
+// still be done, and leases that it has renewed are in force.
+func TestOthersTakeOverTheWorkersOfALostDeputy(t *testing.T) {
+	c := newCell(t, -1, "a")
+	c.delegator.MaxLocal = 0
+	held := make(chan struct{})
+	defer close(held)
+	c.workers["a"].held = held
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "report", reported("w"))
+	c.delegator.Order(start("w"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.workers["a"].orderCount() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("order not sent yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	c.setCut("a")
+	c.sink.await(t, "leases of the lost deputy", func(e leader.Event) bool { return e == leader.PollerLost{Worker: "w"} })
+	c.sink.await(t, "outcome", answered(leader.OutcomeUnknown))
+	assert.Equal(t, c.local.count(), 1)
+}
+
+// A deputy that the leader no longer confirms renews no leases and sends no orders:
+// the leader may have been replaced, or this process was paused.
+func TestAPermissionOfADeputyExpires(t *testing.T) {
+	c := newCell(t, -1, "a")
+	c.delegator.Watch(watch("w"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.workers["a"].lastDeadline() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no lease renewed yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	c.setGrants(false)
+	time.Sleep(delegator.MaxGrant + 200*time.Millisecond)
+	assert.Equal(t, c.workers["a"].lastDeadline(), int64(0))
+	c.delegator.Order(start("w"))
+	c.sink.await(t, "refusal", answered(leader.NotSent))
+	assert.Equal(t, c.workers["a"].orderCount(), 0)
+}
+
+// A deputy acts for the latest leader only.
+func TestADeputyRefusesEarlierLeaders(t *testing.T) {
+	c := newCell(t, -1, "a")
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "report", reported("w"))
+	d := c.deputies["a"]
+	for name, commands := range map[string]delegator.Commands{
+		"earlier epoch":   {Epoch: epoch - 1, Session: 9},
+		"earlier session": {Epoch: epoch, Session: 0},
+	} {
+		assert.Assert(t, d.Do(c.ctx, commands) != nil, name)
+	}
+	assert.NilError(t, d.Do(c.ctx, delegator.Commands{Epoch: epoch + 1, Session: 1}))
+	assert.Assert(t, d.Do(c.ctx, delegator.Commands{Epoch: epoch, Session: 1}) != nil, "replaced leader")
+}
+
+// A new leader calls all workers itself until entries are linked, and then hands most
+// of them over.
+func TestALeaderHandsWorkersOverOnceEntriesAreLinked(t *testing.T) {
+	c := newCell(t, 2, "a")
+	c.delegator.SetEntries(nil)
+	for i := range 6 {
+		c.delegator.Watch(watch(fmt.Sprintf("w%d", i)))
+	}
+	assert.Equal(t, c.local.count(), 6)
+	c.delegator.SetEntries([]delegator.Entry{{Name: "a", Zone: "z", CPUShare: 1}})
+	assert.Equal(t, c.local.count(), 2)
+}
