Visit steps without room less often

Change: such a step is left out for 30 ms (urgent) or 100 ms, and so is one for which no worker with room was found to ask about.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -33,7 +33,7 @@
 	// maxFailedSearches is how many steps in one pass may find no worker with room to
 	// query. Each search visits all workers, and after these another one is unlikely
 	// to succeed.
-	maxFailedSearches = 8
+	maxFailedSearches = 4
 	// callTimeoutSlack is how much longer than estimated a call may take before it
 	// counts as failed.
 	callTimeoutSlack = 3 * time.Second
@@ -119,6 +119,7 @@
 	queried := p.chooseNominees(r, have)
 	if len(queried) == 0 {
 		p.failedSearches++
+		p.deferStep(r)
 		return
 	}
 	workers := make([]string, len(queried))
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -32,6 +32,8 @@
 		}
 		return
 	}
+	p.fullSteps++
+	p.deferStep(r)
 }
 
 // racksByPreference returns the racks of the candidates, the one near the data
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -124,7 +124,7 @@
 
 // unrankStep removes a step from the waiting steps.
 func (t *transition) unrankStep(key string) {
-	t.waiting, t.readySince = t.waiting.Without(key), t.readySince.Without(key)
+	t.waiting, t.readySince, t.retryAt = t.waiting.Without(key), t.readySince.Without(key), t.retryAt.Without(key)
 }
 
 // rankForPrefetch adds a step to those whose advice is requested ahead of time if
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -37,6 +37,9 @@
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
 	for key := range t.waiting.From(minScore) {
+		if at, ok := t.retryAt.Get(key); ok && t.now.Before(at) {
+			continue
+		}
 		if r, ok := t.resolveStep(key); ok {
 			p.placeStep(r)
 		}
@@ -52,7 +55,23 @@
 
 // maxFullSteps is how many steps in one pass may find no room at the workers that they
 // may run on. Room is scarce then, and what there is belongs to the most urgent.
-const maxFullSteps = 150
+const maxFullSteps = 64
+
+const (
+	// urgentRetryPause and retryPause are how long a step is not visited again that
+	// found no room, so that a backlog does not make each pass visit all of it.
+	urgentRetryPause = 30 * time.Millisecond
+	retryPause       = 100 * time.Millisecond
+)
+
+// deferStep has the next passes leave out a step that found no room.
+func (p *placementPass) deferStep(r stepRef) {
+	pause := retryPause
+	if r.job.Job.Queue.Priority == 0 {
+		pause = urgentRetryPause
+	}
+	p.retryAt = p.retryAt.With(r.key, p.now.Add(pause))
+}
 
 // minScore is less than the score of every ranked step.
 const minScore = -1 << 62
@@ -103,6 +122,7 @@
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
 			p.fullSteps++
+			p.deferStep(r)
 			p.preempt(r, eligible, counts)
 			return
 		}
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -201,7 +201,7 @@
 	lease, _ := t.s.Leases.Get(worker)
 	i, _ := t.s.Items.Get(item)
 	index := i.taskIndex(task)
-	silence := t.now.Sub(lease.Expiry) + t.s.Policy.Lease
+	silence := t.now.Sub(lease.Expiry) - t.s.Policy.Drift + t.s.Policy.Lease
 	return !w.Gone && index >= 0 && i.MayHaveEnded(index, lease.Expiry) && silence < silentLeases*t.s.Policy.Lease
 }
 
