Map the times of deputies so that no run counts as over too early

Found by reading: the time of a deputy's poll was mapped to the leader's clock late by the delay of its first batch, so that a poll before a start by way of another entry could count as after it.

Change: polls of deputies count as sent early, answers as arrived when they are processed. An acknowledgement that was lost with a deputy is sent again.

--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -60,7 +60,7 @@
 
 // Event is something that a deputy reports. One of the pointers is set.
 type Event struct {
-	At     time.Duration         `json:"at"` // when a poll was sent or an answer arrived, since the start of the deputy
+	Sent   time.Duration         `json:"sent,omitempty"` // when the poll of a report was sent, since the start of the session
 	Report *Report               `json:"report,omitempty"`
 	Failed *leader.PollFailed    `json:"failed,omitempty"`
 	Answer *leader.OrderAnswered `json:"answer,omitempty"`
@@ -75,10 +75,9 @@
 
 // Events is a batch of events from a deputy.
 type Events struct {
-	Epoch   int64         `json:"epoch"`
-	Session int64         `json:"session"`
-	Now     time.Duration `json:"now"` // when the batch was sent, on the clock of Event.At
-	List    []Event       `json:"list,omitempty"`
+	Epoch   int64   `json:"epoch"`
+	Session int64   `json:"session"`
+	List    []Event `json:"list,omitempty"`
 }
 
 // Entry is a linked entry that can be a deputy.
@@ -146,7 +145,7 @@
 	commands []Command
 	wake     chan struct{}
 	orders   map[orderKey]leader.Order // not answered yet
-	began    time.Time                 // start of the deputy, on the leader's clock; zero until it has reported
+	began    time.Time                 // when its first commands were sent; its session began later
 	reported time.Time                 // when it last reported, or when it was added
 	cancel   context.CancelFunc
 }
@@ -362,6 +361,9 @@
 		case <-p.wake:
 		}
 		d.mu.Lock()
+		if p.began.IsZero() {
+			p.began = time.Now()
+		}
 		batch := Commands{Epoch: d.Epoch, Session: p.session, Lease: d.Lease, List: p.commands}
 		p.commands = nil
 		d.mu.Unlock()
@@ -473,9 +475,6 @@
 		return false, errOutdated
 	}
 	p.reported = now
-	if p.began.IsZero() {
-		p.began = now.Add(-e.Now)
-	}
 	for _, event := range e.List {
 		if a := event.Answer; a != nil {
 			delete(p.orders, orderKey{a.Worker, a.Kind, a.Task, a.Run})
@@ -484,21 +483,24 @@
 	began := p.began
 	d.mu.Unlock()
 	for _, event := range e.List {
-		d.submit(event, began.Add(event.At))
+		d.submit(event, began)
 	}
 	return d.MayGrant(), nil
 }
 
-// submit submits an event of a deputy that happened at a time.
-func (d *Delegator) submit(e Event, at time.Time) {
+// submit submits an event of a deputy whose session began at a time or later. A poll
+// thus counts as sent too early and an answer, whose time is that of the event, as
+// arrived too late: what a report lacks must not count as over if it was started by
+// way of another entry while the worker was polled.
+func (d *Delegator) submit(e Event, began time.Time) {
 	switch {
 	case e.Report != nil:
-		d.Sink.Submit(d.Epoch, leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: at, Deadline: e.Report.Deadline})
+		d.Sink.Submit(d.Epoch, leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline})
 	case e.Failed != nil:
 		d.Sink.Submit(d.Epoch, *e.Failed)
 	case e.Answer != nil:
 		answer := *e.Answer
-		answer.At = at
+		answer.At = time.Time{}
 		d.Sink.Submit(d.Epoch, answer)
 	}
 }
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -335,3 +335,21 @@
 	c.delegator.SetEntries([]delegator.Entry{{Name: "a", Zone: "z", CPUShare: 1}})
 	assert.Equal(t, c.local.count(), 2)
 }
+
+// Regression test (further-grown scale-2, TWICE and LIMIT): the times of deputies are
+// put on the leader's clock so that a run is never taken for over because it is
+// missing from a poll that was sent before it started by way of another entry.
+func TestPollsOfDeputiesCountAsSentEarly(t *testing.T) {
+	c := newCell(t, -1, "a")
+	before := time.Now()
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "report", func(e leader.Event) bool {
+		r, ok := e.(leader.Reported)
+		return ok && !r.Sent.Before(before) && r.Sent.Before(time.Now())
+	})
+	c.delegator.Order(start("w"))
+	c.sink.await(t, "answer that counts as arrived when it is processed", func(e leader.Event) bool {
+		a, ok := e.(leader.OrderAnswered)
+		return ok && a.At.IsZero()
+	})
+}
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -139,15 +139,14 @@
 
 // Submit queues an event of the commander for the leader.
 func (s *session) Submit(_ int64, event leader.Event) {
-	e := Event{At: time.Since(s.began)}
+	var e Event
 	switch f := event.(type) {
 	case leader.Reported:
-		e.At = f.Sent.Sub(s.began)
+		e.Sent = f.Sent.Sub(s.began)
 		e.Report = &Report{Worker: f.Worker, Report: f.Report, Deadline: f.Deadline}
 	case leader.PollFailed:
 		e.Failed = &f
 	case leader.OrderAnswered:
-		e.At = f.At.Sub(s.began)
 		e.Answer = &f
 	}
 	s.mu.Lock()
@@ -169,7 +168,6 @@
 		s.events = nil
 		s.mu.Unlock()
 		sent := time.Now()
-		batch.Now = sent.Sub(s.began)
 		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 		confirmed, err := s.deputy.Leader.ReportEvents(bounded, batch)
 		cancel()
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -136,6 +136,10 @@
 // in order.
 func (t *transition) handleEnds(w Worker, r Report) {
 	last := w.LastEnd
+	if n := len(r.Ended); n > 0 && r.Ended[n-1].Number <= w.AckedEnd {
+		// Whoever was to pass on the acknowledgement was lost.
+		t.emit(Acknowledge{Worker: w.ID, Incarnation: w.ReportedIncarnation, Number: w.AckedEnd})
+	}
 	for _, end := range r.Ended {
 		if end.Number <= last {
 			continue
