--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -204,3 +205,26 @@
 		assert.Equal(t, sink.answers()[0].Outcome, c.want, "%v", c.fail)
 	}
 }
+
+// A leader that was paused may have been replaced meanwhile. It sends no order before
+// the log has confirmed it again, and says that the order was not sent.
+func TestOrdersNeedALeaderThatWasConfirmedLately(t *testing.T) {
+	w := &workers{}
+	var confirmed atomic.Pointer[time.Time]
+	set := func(at time.Time) { confirmed.Store(&at) }
+	set(time.Now().Add(-time.Minute))
+	c, sink := start(t, w, func() time.Time { return *confirmed.Load() })
+	order := leader.Order{Worker: "w", Address: "a", Kind: leader.OrderStart, Task: ledger.TaskID{Job: "j"}, Run: 1}
+	for _, want := range []leader.Outcome{leader.NotSent, leader.Executed} {
+		before := len(sink.answers())
+		c.Order(order)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if answers := sink.answers(); len(answers) > before {
+				assert.Equal(t, answers[before].Outcome, want)
+				return poll.Success()
+			}
+			return poll.Continue("no answer yet")
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+		set(time.Now())
+	}
+}
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -89,10 +89,15 @@
 
 // Caller calls workers. The methods start calls and do not wait.
 type Caller interface {
+	// Watch starts the polling of a worker, or continues it at a new address.
 	Watch(e leader.StartPolling)
+	// Unwatch stops the polling of a worker.
 	Unwatch(e leader.StopPolling)
+	// Poll polls a worker at once.
 	Poll(e leader.PollNow)
+	// Acknowledge lets a worker forget ended runs with the next poll.
 	Acknowledge(e leader.Acknowledge)
+	// Order sends an order to a worker.
 	Order(o leader.Order)
 }
 
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -270,3 +270,37 @@
 	assert.Equal(t, all[4].Values[0].Name, "+b")
 	assert.Equal(t, all[4].Epoch, int64(9))
 }
+
+// slowLog answers an append long after it has taken it.
+type slowLog struct{ delay time.Duration }
+
+func (l slowLog) Append(context.Context, replicator.Append) (replicator.Position, error) {
+	time.Sleep(l.delay)
+	return replicator.Position{}, nil
+}
+
+// The answer to an append may arrive when another entry leads already. It confirms the
+// leader only as of the time when the append was sent.
+func TestAnAppendConfirmsTheLeaderAsOfWhenItWasSent(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	logger, _ := test.NewNullLogger()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &countingSink{written: make(chan struct{}, 16)}
+	r := &recorder.Recorder{Log: slowLog{delay}, Sink: s, Logger: logger, Lead: keeper.LeaderRecord{Epoch: 7, Name: "me"}, Appends: metrics.NewTimer()}
+	var group errgroup.Group
+	group.Go(func() error { return r.Serve(ctx) })
+	<-s.written
+	assert.Assert(t, time.Since(r.LastConfirmed()) >= delay)
+	cancel()
+	_ = group.Wait()
+}
+
+// countingSink signals each event.
+type countingSink struct{ written chan struct{} }
+
+func (s *countingSink) Submit(keeper.Event) {
+	select {
+	case s.written <- struct{}{}:
+	default:
+	}
+}
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"runtime/debug"
 	"slices"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/endivelock/endivelock/internal/classifier"
@@ -13,9 +15,20 @@
 	"github.com/endivelock/endivelock/internal/replicator"
 )
 
-// handle answers a request of another entry. The texts of its errors go over the
-// wire.
-func (l *Linker) handle(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+// handle answers a request of another entry. A panic ends the request, not the
+// process: requests change no state that others share but through the control thread.
+func (l *Linker) handle(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.Logger.WithFields(logrus.Fields{"method": r.Method, "panic": cause, "stack": string(debug.Stack())}).Error("request of an entry failed")
+			result, err = nil, &jsonrpc2.Error{Code: codeUnknown, Message: "the request failed at the other entry"}
+		}
+	}()
+	return l.dispatch(ctx, rpc, r)
+}
+
+// dispatch answers a request. The texts of its errors go over the wire.
+func (l *Linker) dispatch(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params are missing"}
 	}
