--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -11,12 +11,15 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/commands/commander"
+	"github.com/endivelock/endivelock/internal/commands/delegator"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
+	"github.com/endivelock/endivelock/internal/linker"
 	"github.com/endivelock/endivelock/internal/replicator"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
@@ -26,6 +29,8 @@
 	fenceAttempts = 4
 	// discardTimeout bounds the calls that drop an ended job.
 	discardTimeout = 3 * time.Second
+	// publishPause is the time between two attempts to publish who leads.
+	publishPause = 200 * time.Millisecond
 	// resignTimeout bounds the calls that announce a resignation.
 	resignTimeout = time.Second
 )
@@ -37,6 +42,7 @@
 	group     errgroup.Group
 	recorder  *recorder.Recorder
 	commander *commander.Commander
+	delegator *delegator.Delegator
 	workers   map[string]leader.Listing // listed workers as last submitted to the leader
 }
 
@@ -116,7 +122,7 @@
 
 // startLeading starts the services of a leader.
 func (e *Entry) startLeading(epoch int64) {
-	e.unfollowRuns()
+	e.unfollow(keeper.Runs)
 	ctx, cancel := context.WithCancel(e.ctx)
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
@@ -127,22 +133,62 @@
 		LastConfirmed: c.recorder.LastConfirmed, Polls: e.metricTimer("worker.looks"), Orders: e.metricTimer("worker.orders"),
 	}
 	c.commander.Start(ctx)
+	c.delegator = &delegator.Delegator{
+		Local: c.commander, Link: e.linker, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: c.commander.Lease,
+		MayGrant: func() bool {
+			return timer.Elapsed(c.recorder.LastConfirmed(), time.Now()) < renewalWindow-delegator.MaxGrant
+		},
+	}
+	c.delegator.Start(ctx)
 	workers := &replicator.Follower{
 		Stream: e.ports.Platform.WorkerStream(), Reader: e.ports.Platform, Logger: logger, PollTimeout: readWait, From: -1,
 		Pause:  func() time.Duration { return workersPause },
 		Handle: func(b replicator.Batch) { e.updateWorkers(c, b) },
 	}
 	c.group.Go(func() error { return c.recorder.Serve(ctx) })
+	c.group.Go(func() error {
+		e.publishLead(ctx, lead, firstLeadRecord)
+		return nil
+	})
 	c.group.Go(func() error { return workers.Serve(ctx) })
 	e.mu.Lock()
 	e.active = c
 	e.mu.Unlock()
+	e.updateDeputies()
 	e.group.Go(func() error {
 		e.controller.Submit(keeper.LeaderEvent{Epoch: epoch, Event: leader.CallersChanged{Callers: e.linker.Callers()}})
 		return nil
 	})
 }
 
+// firstLeadRecord is the sequence number of a leader's first record in the stream of
+// leaders.
+const firstLeadRecord = 1
+
+// publishLead writes who leads to the stream that all entries follow, until the log
+// takes it or the context ends. The epoch fences off earlier leaders.
+func (e *Entry) publishLead(ctx context.Context, lead keeper.LeaderRecord, sequence int64) {
+	logger := e.logger.WithField("epoch", lead.Epoch)
+	v, err := encoder.Leader(lead)
+	if err != nil {
+		logger.WithError(err).Error("leader not published, since encoding it failed")
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := e.relayer.Append(ctx, replicator.Append{
+			Stream: keeper.Leads, Values: []replicator.Value{v}, Writer: recorder.Writer, Epoch: lead.Epoch, Sequence: sequence, Timeout: claimTimeout,
+		})
+		if err == nil {
+			return
+		}
+		logger.WithError(err).Warn("leader not published")
+		if classifier.Is(err, classifier.Fenced) || classifier.Is(err, classifier.OutOfSequence) {
+			return
+		}
+		timer.Sleep(ctx, publishPause)
+	}
+}
+
 func (e *Entry) metricTimer(name string) metrics.Timer {
 	return metrics.GetOrRegisterTimer(name, e.Registry)
 }
@@ -158,6 +204,26 @@
 	return e.active
 }
 
+// delegator returns the delegator of this entry while it leads.
+func (e *Entry) delegator() (linker.Delegator, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.active == nil {
+		return nil, false
+	}
+	return e.active.delegator, true
+}
+
+// updateDeputies passes the linked entries on to the delegator, if this entry leads.
+func (e *Entry) updateDeputies() {
+	e.mu.Lock()
+	c := e.active
+	e.mu.Unlock()
+	if c != nil {
+		c.delegator.SetEntries(e.linker.Entries())
+	}
+}
+
 // stopLeading stops the services of a leader and follows the runs again.
 func (e *Entry) stopLeading(r keeper.Resign) {
 	c := e.activeAt(r.Epoch)
@@ -176,7 +242,11 @@
 			c.recorder.Resign(bounded)
 		}
 		e.linker.Resign(bounded, r.Epoch)
-		e.followRuns()
+		if r.Graceful {
+			e.publishLead(bounded, keeper.LeaderRecord{Epoch: r.Epoch}, firstLeadRecord+1)
+		}
+		e.follow(e.runsFollower())
+		c.delegator.Wait()
 		c.commander.Wait()
 		return nil
 	})
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -33,7 +33,7 @@
 	// maxFailedSearches is how many steps in one pass may find no worker with room to
 	// query. Each search visits all workers, and after these another one is unlikely
 	// to succeed.
-	maxFailedSearches = 8
+	maxFailedSearches = 4
 	// callTimeoutSlack is how much longer than estimated a call may take before it
 	// counts as failed.
 	callTimeoutSlack = 3 * time.Second
@@ -87,7 +87,7 @@
 		needed = p.countIdle(r)
 	}
 	for _, i := range p.eligible(r, held) {
-		needed -= p.fitsAt(r, p.candidates[i].Free, size, counts[p.candidates[i].ID], needed)
+		needed -= p.fitsAt(r, p.slots[i].Free, size, counts[p.slots[i].ID], needed)
 		if needed <= 0 {
 			return true
 		}
@@ -107,13 +107,19 @@
 // requestAdvice has an idle entry call for advice on a step.
 func (p *placementPass) requestAdvice(r stepRef, have permits) {
 	advice := r.job.Job.Queue.Advice
-	caller, ok := p.idleCaller(advice.PerCall >= longCallTime)
-	if !ok || p.failedSearches >= maxFailedSearches {
+	long := advice.PerCall >= longCallTime
+	if p.callersBusy[long] || p.failedSearches >= maxFailedSearches {
+		return
+	}
+	caller, ok := p.idleCaller(long)
+	if !ok {
+		p.callersBusy[long] = true // none becomes idle during the pass
 		return
 	}
 	queried := p.chooseNominees(r, have)
 	if len(queried) == 0 {
 		p.failedSearches++
+		p.deferStep(r)
 		return
 	}
 	workers := make([]string, len(queried))
@@ -162,9 +168,12 @@
 // time of the answer.
 func (p *placementPass) prefetchAdvice() {
 	for key := range p.prefetch.From(minScore) {
+		if due, ok := p.prefetchDue.Get(key); ok && p.now.Before(due) {
+			continue
+		}
 		r, ok := p.resolveStep(key)
 		if !ok {
-			p.prefetch = p.prefetch.Without(key)
+			p.unrankPrefetch(key)
 			continue
 		}
 		have, _ := p.permits.Get(key)
@@ -172,12 +181,20 @@
 		if have.calling || len(have.tickets) > 0 && p.now.Before(have.lastExpiry) {
 			continue
 		}
-		if p.timeUntilReady(r) <= advice.PerCall+minQueried*advice.PerWorker+answerOverhead {
+		early := p.timeUntilReady(r) - (advice.PerCall + minQueried*advice.PerWorker + answerOverhead)
+		if early <= 0 {
 			p.requestAdvice(r, have)
+			continue
 		}
+		// Runs may end sooner than estimated, so the next look comes halfway.
+		p.prefetchDue = p.prefetchDue.With(key, p.now.Add(max(early/2, minPrefetchPause)))
 	}
 }
 
+// minPrefetchPause is the least time between two estimates of when a step becomes
+// ready. Each visits all tasks of the steps before it.
+const minPrefetchPause = 25 * time.Millisecond
+
 // timeUntilReady estimates the time until the steps before a step are done.
 func (p *placementPass) timeUntilReady(r stepRef) time.Duration {
 	var longest time.Duration
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -27,7 +27,7 @@
 	w = w.WithListing(e.Listing, t.now)
 	t.setWorker(w)
 	if !watched || moved {
-		t.emit(StartPolling{Worker: w.ID, Address: w.Address})
+		t.emit(StartPolling{Worker: w.ID, Address: w.Address, Zone: w.Zone})
 		t.emit(Decision{What: "list", Worker: w.ID, Why: w.Service + " at " + w.Address})
 	}
 	if startsDraining {
@@ -53,7 +53,7 @@
 	if w.Listed || w.Placements.Len() > 0 || len(w.UnackedEnds) > 0 {
 		return
 	}
-	t.workers = t.workers.Without(w.ID)
+	t.workers, t.staleSlots = t.workers.Without(w.ID), t.staleSlots.With(w.ID, true)
 	t.emit(StopPolling{Worker: w.ID})
 }
 
@@ -71,6 +71,14 @@
 	t.expireLeases(w)
 }
 
+func (e PollerLost) apply(t *transition) {
+	w, ok := t.workers.Get(e.Worker)
+	if !ok {
+		return
+	}
+	t.setWorker(w.WithUnknownLeases(t.now.Add(t.unknownLease())))
+}
+
 // expireLeases gives up the runs at an unreachable worker once its leases have
 // expired.
 func (t *transition) expireLeases(w Worker) {
@@ -112,11 +120,13 @@
 	w = w.WithReport(e.Report, e.Deadline, t.policy.Lease, t.now)
 	t.setWorker(w)
 	t.handleEnds(w, e.Report)
-	if !outdated {
+	if !outdated && !e.Report.Partial {
 		t.loseAbsent(w.ID, e, t.handleRunning(w.ID, e), restarted)
 	}
 	w, _ = t.workers.Get(w.ID)
-	t.throttle(w)
+	if !e.Report.Partial {
+		t.throttle(w)
+	}
 	t.removeIfUnused(w)
 }
 
@@ -126,6 +136,10 @@
 // in order.
 func (t *transition) handleEnds(w Worker, r Report) {
 	last := w.LastEnd
+	if n := len(r.Ended); n > 0 && r.Ended[n-1].Number <= w.AckedEnd {
+		// Whoever was to pass on the acknowledgement was lost.
+		t.emit(Acknowledge{Worker: w.ID, Incarnation: w.ReportedIncarnation, Number: w.AckedEnd})
+	}
 	for _, end := range r.Ended {
 		if end.Number <= last {
 			continue
@@ -152,13 +166,14 @@
 // their keys.
 func (t *transition) handleRunning(id string, e Reported) map[string]bool {
 	listed := make(map[string]bool, len(e.Report.Running))
+	w, _ := t.workers.Get(id)
 	for _, r := range e.Report.Running {
 		key := runKey(r.Task, r.Number)
 		listed[key] = true
-		w, _ := t.workers.Get(id)
 		p, ok := w.Placements.Get(key)
 		if !ok {
-			t.stopUnexpected(w, r)
+			t.setWorker(w)
+			w = t.stopUnexpected(w, r)
 			continue
 		}
 		p = p.WithReport(r, t.now)
@@ -169,20 +184,28 @@
 			p = p.WithStage(Running).WithAnswer(t.now)
 			p.StartedAt = t.now
 		}
-		w = t.putPlacement(w, p)
-		if p.Stage != Running {
-			continue
+		w = w.WithPlacement(p)
+		if p.Stage == Running {
+			w = t.superviseRun(w, p)
 		}
-		job, known := t.jobs.Get(string(p.Task.Job))
-		if !known || job.Progress.State.Final() {
-			t.stopRun(w, p, "its job has ended")
-			continue
-		}
-		t.moveStraggler(w, p, job.Job.Steps[p.Task.Step])
 	}
+	t.setWorker(w)
 	return listed
 }
 
+// superviseRun stops a reported run that should not go on, and returns the worker.
+func (t *transition) superviseRun(w Worker, p Placement) Worker {
+	job, known := t.jobs.Get(string(p.Task.Job))
+	if !known || job.Progress.State.Final() {
+		return t.stopRun(w, p, "its job has ended")
+	}
+	step := job.Job.Steps[p.Task.Step]
+	if w = t.moveStraggler(w, p, step); w.stopping(p.key()) {
+		return w
+	}
+	return t.stopIfHung(w, p, step)
+}
+
 // adopt returns the placement of a run that an earlier leader started and that the
 // worker reports as running.
 func (t *transition) adopt(p Placement) Placement {
@@ -192,19 +215,19 @@
 }
 
 // stopUnexpected stops a run that has no placement. The run gets one, so that it
-// occupies capacity until it has ended.
-func (t *transition) stopUnexpected(w Worker, r RunStatus) {
+// occupies capacity until it has ended. It returns the worker.
+func (t *transition) stopUnexpected(w Worker, r RunStatus) Worker {
 	id, err := ledger.ParseTaskID(r.Task)
 	if err != nil {
 		t.emit(Decision{What: "ignore", Task: r.Task, Worker: w.ID, Why: err.Error()})
-		return
+		return w
 	}
 	p := Placement{Task: id, Run: r.Number, Stage: Running, AnsweredAt: t.now, StartedAt: t.now, Checkpoint: r.Checkpoint}
 	if job, ok := t.jobs.Get(string(id.Job)); ok && id.Step < len(job.Job.Steps) {
 		p.Size = job.Job.Steps[id.Step].Reservation()
 	}
 	w = t.putPlacement(w, p)
-	t.stopRun(w, p, "the run has no placement")
+	return t.stopRun(w, p, "the run has no placement")
 }
 
 // loseAbsent gives up the runs that a report does not list although it would if
@@ -240,20 +263,24 @@
 	if !ok {
 		return
 	}
+	at := e.At
+	if at.IsZero() {
+		at = t.now
+	}
 	switch e.Kind {
 	case OrderStart:
-		t.handleStartOutcome(w, p, e.Outcome)
+		t.handleStartOutcome(w, p, e.Outcome, at)
 	case OrderStop:
 		if e.Outcome == Executed && p.Stage == Stopping {
-			t.putPlacement(w, p.WithAnswer(t.now))
+			t.putPlacement(w, p.WithAnswer(at))
 			t.emit(PollNow{Worker: w.ID})
 		}
 	}
 }
 
 // handleStartOutcome processes the outcome of a start order.
-func (t *transition) handleStartOutcome(w Worker, p Placement, o Outcome) {
-	if p.Stage == Stopping && (o == Refused || o == InvalidTicket || o == InsufficientCapacity) {
+func (t *transition) handleStartOutcome(w Worker, p Placement, o Outcome, at time.Time) {
+	if p.Stage == Stopping && (o == Refused || o == InvalidTicket || o == InsufficientCapacity || o == NotSent) {
 		t.loseRun(w, p, "worker refused the start")
 		return
 	}
@@ -262,7 +289,7 @@
 	}
 	switch o {
 	case Executed:
-		p = p.WithStage(Running).WithAnswer(t.now)
+		p = p.WithStage(Running).WithAnswer(at)
 		p.StartedAt = t.now
 		t.putPlacement(w, p)
 	case OutcomeUnknown:
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -43,11 +43,13 @@
 	ReportedAt          time.Time // when the last report arrived
 	ReportedClock       int64     // monotonic clock of the worker in that report, in milliseconds
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
+	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
 	UsedByStopping      ledger.Resources // part of Used that pending stops will free
 	UsedByPreemptible   ledger.Resources // part of Used that preemption can free
 	ServingRuns         int              // runs with a latency target
+	StoppingRuns        int
 	BestEffortRuns      int
 	LastEnd             int64        // number of the last end processed
 	AckedEnd            int64        // number of the last end whose record is in the log
@@ -105,6 +107,12 @@
 	return w
 }
 
+// stopping reports whether a stop was sent for the run of the given key.
+func (w Worker) stopping(key string) bool {
+	p, ok := w.Placements.Get(key)
+	return ok && p.Stage == Stopping
+}
+
 // withTotals returns the worker with n times a placement added to its totals.
 func (w Worker) withTotals(p Placement, n int) Worker {
 	w.Used = w.Used.Plus(p.Size.Times(n))
@@ -114,6 +122,9 @@
 	case p.Preemptible:
 		w.UsedByPreemptible = w.UsedByPreemptible.Plus(p.Size.Times(n))
 	}
+	if p.Stage == Stopping {
+		w.StoppingRuns += n
+	}
 	if p.LatencyTarget > 0 {
 		w.ServingRuns += n
 	}
@@ -165,19 +176,30 @@
 	return w
 }
 
-// Schedulable reports whether the worker may be given new tasks at time now.
-func (w Worker) Schedulable(now time.Time) bool {
-	return w.Listed && !w.Draining && w.Reachability == Reachable && !now.Before(w.ExcludedUntil)
-}
-
 // leaseExpiry returns the time by which all runs at an unreachable worker have ended
 // because its leases have expired, allowing for clock drift.
 func (w Worker) leaseExpiry(s State) time.Time {
-	if w.ReportedAt.IsZero() {
-		return s.leadingSince.Add(s.policy.MaxStaleRenewal + onSlowestClock(s.policy.Lease))
+	expiry := s.leadingSince.Add(s.unknownLease())
+	if !w.ReportedAt.IsZero() {
+		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
+		expiry = w.ReportedAt.Add(onSlowestClock(max(left, 0)))
+	}
+	if w.LeasesUntil.After(expiry) {
+		return w.LeasesUntil
 	}
-	left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
-	return w.ReportedAt.Add(onSlowestClock(max(left, 0)))
+	return expiry
+}
+
+// unknownLease returns how long a lease may be in force that another entry has sent
+// or may still send, since it does not know yet that it must not.
+func (s State) unknownLease() time.Duration {
+	return s.policy.MaxStaleRenewal + onSlowestClock(s.policy.Lease)
+}
+
+// WithUnknownLeases returns the worker with leases in force up to a time.
+func (w Worker) WithUnknownLeases(until time.Time) Worker {
+	w.LeasesUntil = until
+	return w
 }
 
 // onSlowestClock returns the longest real time in which d passes on a worker's
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -4,19 +4,26 @@
 package spooler
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"sync/atomic"
 )
 
-// queueLength bounds the queued lines. At 300 bytes a line it is about 1 MB.
+// queueLength bounds the lines that are queued or being written. At 300 bytes a line it is about 1 MB.
 const queueLength = 4096
 
+// maxWriteBytes is the size from which lines that wait are not added to a write. Pipes
+// keep writes of up to 4 KB whole.
+// Each write is a system call, whatever its size.
+const maxWriteBytes = 3 << 10
+
 // Spooler is an asynchronous writer; each Write is one line. Create it with New.
 type Spooler struct {
 	output  io.Writer
 	queue   chan []byte
+	writing atomic.Int64 // lines that are being written
 	dropped atomic.Int64
 }
 
@@ -30,6 +37,10 @@
 // Write queues a copy of a line, or drops the line if the queue is full. It never
 // fails.
 func (s *Spooler) Write(line []byte) (int, error) {
+	if s.writing.Load()+int64(len(s.queue)) > queueLength {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
@@ -47,7 +58,7 @@
 	for {
 		select {
 		case line := <-s.queue:
-			s.write(line)
+			s.write(s.collect(line))
 		case <-ctx.Done():
 			s.flush()
 			return ctx.Err()
@@ -63,17 +74,33 @@
 	for {
 		select {
 		case line := <-s.queue:
-			s.write(line)
+			s.write(s.collect(line))
 		default:
 			return
 		}
 	}
 }
 
-// write writes a line to the output. An error only counts the line as dropped,
-// since there is no other output to report it to.
-func (s *Spooler) write(line []byte) {
-	if _, err := s.output.Write(line); err != nil {
-		s.dropped.Add(1)
+// collect returns a line together with those that wait behind it.
+func (s *Spooler) collect(line []byte) []byte {
+	s.writing.Store(1)
+	for len(line) < maxWriteBytes {
+		select {
+		case next := <-s.queue:
+			s.writing.Add(1)
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+	return line
+}
+
+// write writes lines to the output. An error only counts them as dropped, since
+// there is no other output to report it to.
+func (s *Spooler) write(lines []byte) {
+	defer s.writing.Store(0)
+	if _, err := s.output.Write(lines); err != nil {
+		s.dropped.Add(int64(bytes.Count(lines, []byte{'\n'})))
 	}
 }
