Name the standbys in the log; more of them where entries are strong

After all processes were killed, no entry knew whether it was one and each waited 1.5 to 3 s before it read anything; a rolling stop and a zone cut took all three.

Change: an announcer publishes the standbys with the leader in the stream of leaders, and again when they change. An entry without a link that is named there replicates at once. The test that the core is pure failed on the heap of nominees: container/heap does no input or output and is allowed now.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -70,7 +70,7 @@
 // clock, sleep or start goroutines.
 func TestCoreIsPure(t *testing.T) {
 	core := regexp.MustCompile(`^internal/(scheduler|container|ledger|leader|placer)/`)
-	allowed := regexp.MustCompile(`^(cmp|fmt|iter|maps|slices|strconv|strings|time|github.com/benbjohnson/immutable|github.com/cespare/xxhash/v2|github.com/endivelock/endivelock/internal/(container|ledger|placer))$`)
+	allowed := regexp.MustCompile(`^(cmp|container/heap|fmt|iter|maps|slices|strconv|strings|time|github.com/benbjohnson/immutable|github.com/cespare/xxhash/v2|github.com/endivelock/endivelock/internal/(container|ledger|placer))$`)
 	for _, f := range files(t) {
 		if !core.MatchString(f.path) || isTest(f) {
 			continue
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivelock/endivelock/internal/classifier"
+	"github.com/endivelock/endivelock/internal/commands/announcer"
 	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/commands/delegator"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
@@ -29,8 +30,6 @@
 	fenceAttempts = 4
 	// discardTimeout bounds the calls that drop an ended job.
 	discardTimeout = 3 * time.Second
-	// publishPause is the time between two attempts to publish who leads.
-	publishPause = 200 * time.Millisecond
 	// resignTimeout bounds the calls that announce a resignation.
 	resignTimeout = time.Second
 )
@@ -41,6 +40,7 @@
 	cancel    context.CancelFunc
 	group     errgroup.Group
 	recorder  *recorder.Recorder
+	announcer *announcer.Announcer
 	commander *commander.Commander
 	delegator *delegator.Delegator
 	workers   map[string]leader.Listing // listed workers as last submitted to the leader
@@ -128,6 +128,7 @@
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
 	c := &leaderServices{epoch: epoch, cancel: cancel, workers: map[string]leader.Listing{}}
 	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, Appends: e.metricTimer("append.runs")}
+	c.announcer = &announcer.Announcer{Log: e.relayer, Logger: logger, Lead: lead, Standbys: e.linker.Standbys}
 	c.commander = &commander.Commander{
 		Workers: e.ports.Workers, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: min(e.settings.Lease, maxLease), Renewal: renewalWindow,
 		LastConfirmed: c.recorder.LastConfirmed, Polls: e.metricTimer("worker.looks"), Orders: e.metricTimer("worker.orders"),
@@ -146,10 +147,7 @@
 		Handle: func(b replicator.Batch) { e.updateWorkers(c, b) },
 	}
 	c.group.Go(func() error { return c.recorder.Serve(ctx) })
-	c.group.Go(func() error {
-		e.publishLead(ctx, lead, firstLeadRecord)
-		return nil
-	})
+	c.group.Go(func() error { return c.announcer.Serve(ctx) })
 	c.group.Go(func() error { return workers.Serve(ctx) })
 	e.mu.Lock()
 	e.active = c
@@ -161,34 +159,6 @@
 	})
 }
 
-// firstLeadRecord is the sequence number of a leader's first record in the stream of
-// leaders.
-const firstLeadRecord = 1
-
-// publishLead writes who leads to the stream that all entries follow, until the log
-// takes it or the context ends. The epoch fences off earlier leaders.
-func (e *Entry) publishLead(ctx context.Context, lead keeper.LeaderRecord, sequence int64) {
-	logger := e.logger.WithField("epoch", lead.Epoch)
-	v, err := encoder.Leader(lead)
-	if err != nil {
-		logger.WithError(err).Error("leader not published, since encoding it failed")
-		return
-	}
-	for ctx.Err() == nil {
-		_, err := e.relayer.Append(ctx, replicator.Append{
-			Stream: keeper.Leads, Values: []replicator.Value{v}, Writer: recorder.Writer, Epoch: lead.Epoch, Sequence: sequence, Timeout: claimTimeout,
-		})
-		if err == nil {
-			return
-		}
-		logger.WithError(err).Warn("leader not published")
-		if classifier.Is(err, classifier.Fenced) || classifier.Is(err, classifier.OutOfSequence) {
-			return
-		}
-		timer.Sleep(ctx, publishPause)
-	}
-}
-
 func (e *Entry) metricTimer(name string) metrics.Timer {
 	return metrics.GetOrRegisterTimer(name, e.Registry)
 }
@@ -243,7 +213,7 @@
 		}
 		e.linker.Resign(bounded, r.Epoch)
 		if r.Graceful {
-			e.publishLead(bounded, keeper.LeaderRecord{Epoch: r.Epoch}, firstLeadRecord+1)
+			c.announcer.Resign(bounded)
 		}
 		e.follow(e.runsFollower())
 		c.delegator.Wait()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -31,6 +31,9 @@
 	Name       string `json:"name"` // empty after the leader has resigned
 	Address    string `json:"address"`
 	Heartbeats int64  `json:"beat"` // rises with each heartbeat
+	// Standbys names the entries that replicate the streams in order to take over. Only
+	// the stream of leaders has it.
+	Standbys []string `json:"standbys,omitempty"`
 }
 
 // Role is the role of an entry in leader election.
--- a/internal/keeper/standby.go
+++ b/internal/keeper/standby.go
@@ -14,7 +14,7 @@
 	activeSince time.Time // when they were last needed
 	linked      bool      // there is a link to the leader
 	unlinkedAt  time.Time // when the link was lost, or when the entry first ticked
-	standby     bool      // the leader wants this entry to be able to take over
+	standby     bool      // the leader or, without a link, the log has the entry among those that are to be able to take over
 	delay       time.Duration
 }
 
@@ -34,6 +34,9 @@
 
 func (e LeadsRead) apply(t *transition) {
 	t.lastLeads = t.now
+	if e.Lead != nil && e.Lead.Epoch >= t.State.lead.Epoch && !t.replica.linked {
+		t.replica.standby = e.Lead.Name == t.Self.Name || slices.Contains(e.Lead.Standbys, t.Self.Name)
+	}
 	switch {
 	case e.Lead == nil:
 	case e.Lead.Name != "":
@@ -73,12 +76,9 @@
 
 // needsReplica reports whether the entry may have to lead soon.
 func (t *transition) needsReplica(jitter time.Duration) bool {
-	if t.replica.linked {
+	if t.replica.linked || t.replica.standby {
 		return t.replica.standby
 	}
-	if t.replica.standby && t.replica.active {
-		return true
-	}
 	if t.replica.delay == 0 {
 		small := 1 - min(t.Self.CPUShare, 1)
 		t.replica.delay = t.policy.ReplicaDelay + time.Duration(small*float64(t.policy.SmallShareDelay)) + jitter
@@ -104,24 +104,30 @@
 	ReadsLog bool // the log has answered it lately
 }
 
-// ChooseStandbys chooses up to n of the candidates to take over from a leader: those
-// that reach the log, then those in zones that have none yet, then the strongest.
+// ChooseStandbys chooses the candidates that are to be able to take over from a leader:
+// those that reach the log, then those in zones that have none yet, then the strongest.
 // Current standbys are kept among equals, since others have to read everything anew.
-func ChooseStandbys(leader Identity, candidates []Candidate, current []string, n int) []string {
+// Beyond the number least, only candidates that reach the log and are not much weaker
+// than the leader are chosen, up to the number most.
+func ChooseStandbys(leader Identity, candidates []Candidate, current []string, least, most int) []string {
+	strong := func(c Candidate) bool { return c.CPUShare >= weakRatio*leader.CPUShare }
 	inZone := map[string]int{leader.Zone: 1}
 	left := slices.Clone(candidates)
 	var chosen []string
-	for len(chosen) < n && len(left) > 0 {
+	for len(chosen) < most && len(left) > 0 {
 		best := slices.MinFunc(left, func(a, b Candidate) int {
 			return cmp.Or(
 				preferTrue(a.ReadsLog, b.ReadsLog),
-				preferTrue(a.CPUShare >= weakRatio*leader.CPUShare, b.CPUShare >= weakRatio*leader.CPUShare),
+				preferTrue(strong(a), strong(b)),
 				cmp.Compare(inZone[a.Zone], inZone[b.Zone]),
 				cmp.Compare(b.CPUShare, a.CPUShare),
 				preferTrue(slices.Contains(current, a.Name), slices.Contains(current, b.Name)),
 				cmp.Compare(a.Name, b.Name),
 			)
 		})
+		if len(chosen) >= least && !(best.ReadsLog && strong(best)) {
+			break
+		}
 		chosen = append(chosen, best.Name)
 		inZone[best.Zone]++
 		left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Name == best.Name })
--- a/internal/keeper/standby_test.go
+++ b/internal/keeper/standby_test.go
@@ -16,12 +16,18 @@
 	minReplicaTime  = 10 * time.Second
 )
 
-// newReplicaEntry returns an entry that follows a leader over a link.
-func newReplicaEntry(share float64) *entry {
+// newUnlinkedEntry returns an entry that has just started.
+func newUnlinkedEntry(share float64) *entry {
 	e := newEntry()
 	e.state = keeper.New(keeper.Identity{Name: "me", Address: "me:1", CPUShare: share}, keeper.Policy{
 		LeaderTimeout: time.Second, ReplicaDelay: replicaDelay, SmallShareDelay: smallShareDelay, MinReplicaTime: minReplicaTime,
 	})
+	return e
+}
+
+// newReplicaEntry returns an entry that follows a leader over a link.
+func newReplicaEntry(share float64) *entry {
+	e := newUnlinkedEntry(share)
 	e.apply(keeper.LeadsRead{Lead: &keeper.LeaderRecord{Epoch: 5, Name: "other", Address: "other:1"}})
 	e.apply(keeper.Ticked{})
 	e.apply(keeper.LinkEstablished{Epoch: 5})
@@ -89,6 +95,36 @@
 	}
 }
 
+// Load pattern: all processes of the system are killed at once and started again. The
+// log names the standbys of the last leader; these and that leader replicate at once,
+// the others would only take the read rate of the log from them.
+func TestNamedStandbysReplicateAtOnceAfterARestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		lead keeper.LeaderRecord
+		want time.Duration
+	}{
+		"standby":          {keeper.LeaderRecord{Epoch: 5, Name: "other", Address: "other:1", Standbys: []string{"third", "me"}}, 0},
+		"the last leader":  {keeper.LeaderRecord{Epoch: 5, Name: "me", Address: "me:1", Standbys: []string{"third"}}, 0},
+		"after resigning":  {keeper.LeaderRecord{Epoch: 5, Standbys: []string{"me"}}, 0},
+		"neither":          {keeper.LeaderRecord{Epoch: 5, Name: "other", Address: "other:1", Standbys: []string{"third"}}, replicaDelay},
+		"nobody was named": {keeper.LeaderRecord{Epoch: 5, Name: "other", Address: "other:1"}, replicaDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newUnlinkedEntry(1)
+			e.apply(keeper.LeadsRead{Lead: &c.lead})
+			after := e.tickUntil(10*time.Second, starts)
+			assert.Assert(t, after > c.want && after <= c.want+200*time.Millisecond, "replicates after %v", after)
+		})
+	}
+}
+
+// What the log says about standbys is older than what the leader says.
+func TestLinkedEntriesAskTheLeaderWhetherTheyAreStandbys(t *testing.T) {
+	e := newReplicaEntry(1)
+	e.apply(keeper.LeadsRead{Lead: &keeper.LeaderRecord{Epoch: 5, Name: "other", Address: "other:1", Standbys: []string{"me"}}})
+	assert.Equal(t, e.tickUntil(10*time.Second, starts), time.Duration(0))
+}
+
 // An entry that was told of a new leader in time does not replicate.
 func TestNewLeaderMakesReplicasNeedless(t *testing.T) {
 	e := newReplicaEntry(1)
@@ -128,15 +164,17 @@
 		current    []string
 		want       []string
 	}{
-		"other zones first":        {[]keeper.Candidate{strong("a1", "a"), strong("b1", "b"), strong("b2", "b"), strong("c1", "c")}, nil, []string{"b1", "c1"}},
+		"other zones first":        {[]keeper.Candidate{strong("a1", "a"), strong("b1", "b"), strong("b2", "b"), strong("c1", "c")}, nil, []string{"b1", "c1", "a1"}},
 		"strength before zone":     {[]keeper.Candidate{strong("a1", "a"), weak("b1", "b"), weak("c1", "c")}, nil, []string{"a1", "b1"}},
-		"current ones stay":        {[]keeper.Candidate{strong("b1", "b"), strong("b2", "b"), strong("c1", "c"), strong("c2", "c")}, []string{"c2", "b2"}, []string{"b2", "c2"}},
+		"current ones stay":        {[]keeper.Candidate{strong("b1", "b"), strong("b2", "b"), strong("c1", "c"), strong("c2", "c")}, []string{"c2", "b2"}, []string{"b2", "c2", "b1"}},
 		"the log answers them":     {[]keeper.Candidate{silent, weak("b1", "b"), weak("c1", "c")}, []string{"s"}, []string{"b1", "c1"}},
 		"fewer than asked for":     {[]keeper.Candidate{weak("b1", "b")}, nil, []string{"b1"}},
 		"same zone, if no other's": {[]keeper.Candidate{strong("a1", "a"), strong("a2", "a")}, nil, []string{"a1", "a2"}},
+		"more of the strong ones":  {[]keeper.Candidate{strong("a1", "a"), strong("b1", "b"), strong("c1", "c"), strong("c2", "c")}, nil, []string{"b1", "c1", "a1"}},
+		"no more of the weak ones": {[]keeper.Candidate{weak("b1", "b"), strong("c1", "c"), weak("d1", "d")}, nil, []string{"c1", "b1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.DeepEqual(t, keeper.ChooseStandbys(leader, c.candidates, c.current, 2), c.want)
+			assert.DeepEqual(t, keeper.ChooseStandbys(leader, c.candidates, c.current, 2, 3), c.want)
 		})
 	}
 }
