Say 'not run' where nothing was sent, and let clients return in time

Each entry probed it with a client's job, and jobs past their deadline were queued or called the leader, so that 156 tries ended as unknown and their clients could not try again.

Change: a probe appends nothing; a value whose caller has given up is not sent, and a call whose deadline has passed is not made: both are 'not run'. A step without room is visited again sooner where few steps wait.

The test of the outage that let one value through as a probe is replaced by one that lets none through.

--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,8 +30,14 @@
 	// values are refused. The platform guarantees that even a slow log answers
 	// sooner.
 	stalledAfter = 600 * time.Millisecond
-	// probeInterval is the time between two probes of a log that does not answer.
-	probeInterval = time.Second
+	// probeInterval is the time between two probes of a log that does not answer, and
+	// probeTimeout bounds one. A probe appends nothing, so that no client's value is
+	// put at risk to find out whether the log answers again.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+	// probeWriter and probeEpoch are the writer and the epoch of a probe.
+	probeWriter = "probe"
+	probeEpoch  = 1
 )
 
 // Log adds values to streams.
@@ -40,12 +47,17 @@
 }
 
 // request is a queued value and the channel on which its caller waits for the
-// result.
+// result. It is taken either by the append that sends it or by its caller, who then
+// knows that it is not sent.
 type request struct {
 	value replicator.Value
 	done  chan error
+	taken *atomic.Bool
 }
 
+// take reports whether the request was not taken before.
+func (r request) take() bool { return r.taken.CompareAndSwap(false, true) }
+
 // Journal adds values to one stream. Create it with NewJournal.
 type Journal struct {
 	log    Log
@@ -62,7 +74,6 @@
 	mu           sync.Mutex
 	sentAt       time.Time // when the append in flight was sent, or zero
 	failingSince time.Time // when appends began to fail, or zero
-	probedAt     time.Time // when a value was last admitted during an outage
 
 	epoch    int64 // of the last append to the fallback stream
 	sequence int64 // of the last append to the fallback stream
@@ -101,21 +112,6 @@
 	j.failingSince = time.Time{}
 }
 
-// admit reports whether a value may be sent. During an outage it admits a single
-// value per probeInterval, to find out whether the log answers again.
-func (j *Journal) admit() bool {
-	if j.Outage() == 0 {
-		return true
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.sentAt.IsZero() || time.Since(j.probedAt) < probeInterval {
-		return false
-	}
-	j.probedAt = time.Now()
-	return true
-}
-
 // NewJournal returns a journal that adds values to a stream.
 func NewJournal(log Log, stream string) *Journal {
 	return &Journal{log: log, stream: stream, queue: make(chan request, maxQueued), Delay: metrics.NewTimer()}
@@ -124,10 +120,10 @@
 // Add adds a value and returns when it is in the log. An error of kind Unanswered
 // means that the value may be there nevertheless.
 func (j *Journal) Add(ctx context.Context, v replicator.Value) error {
-	if !j.admit() {
+	if j.Outage() > 0 {
 		return &classifier.Error{Kind: classifier.Busy, Call: "append", Reason: "the log does not answer"}
 	}
-	r := request{v, make(chan error, 1)}
+	r := request{v, make(chan error, 1), new(atomic.Bool)}
 	select {
 	case j.queue <- r:
 	default:
@@ -137,40 +133,61 @@
 	case err := <-r.done:
 		return err
 	case <-ctx.Done():
-		return &classifier.Error{Kind: classifier.Unanswered, Call: "append", Cause: ctx.Err()}
 	}
+	if r.take() {
+		return &classifier.Error{Kind: classifier.Busy, Call: "append", Reason: "the value was not sent in time"}
+	}
+	return &classifier.Error{Kind: classifier.Unanswered, Call: "append", Cause: ctx.Err()}
 }
 
 // Serve appends until the context ends.
 func (j *Journal) Serve(ctx context.Context) error {
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-j.queue:
-			j.append(ctx, j.collect(first))
+			if batch := j.collect(first); len(batch) > 0 {
+				j.append(ctx, batch)
+			}
+		case <-probe.C:
+			if j.Outage() > 0 {
+				j.probe(ctx)
+			}
 		}
 	}
 }
 
+// probe finds out whether the log answers again.
+func (j *Journal) probe(ctx context.Context) {
+	_, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Writer: probeWriter, Epoch: probeEpoch, Timeout: probeTimeout})
+	j.track(time.Time{}, err)
+}
+
 // String names the journal for the supervisor.
 func (j *Journal) String() string { return "journal of " + j.stream }
 
-// collect returns a batch of a first value and those queued after it, up to the
-// size of one append.
+// collect returns a batch of a first request and those queued after it, up to the
+// size of one append, without those that their callers have given up.
 func (j *Journal) collect(first request) []request {
-	batch := []request{first}
-	size := len(first.value.Data)
-	for size < maxBatchBytes {
-		select {
-		case r := <-j.queue:
+	var batch []request
+	size := 0
+	for r := first; ; {
+		if r.take() {
 			batch = append(batch, r)
 			size += len(r.value.Data)
+		}
+		if size >= maxBatchBytes {
+			return batch
+		}
+		select {
+		case r = <-j.queue:
 		default:
 			return batch
 		}
 	}
-	return batch
 }
 
 func (j *Journal) append(ctx context.Context, batch []request) {
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,33 +194,62 @@
 
 // During an outage of the log, new values are refused before they are sent, so
 // that a client is told "not run" only if that is true. A successful read ends
-// the outage.
+// the outage, and so does a probe, which puts no client's value at risk.
 func TestJournalRefusesDuringAnOutage(t *testing.T) {
-	down := true
-	var mu sync.Mutex
-	l := &log{fail: func(int) error {
-		mu.Lock()
-		defer mu.Unlock()
-		if down {
-			return &classifier.Error{Kind: classifier.Unanswered}
-		}
-		return nil
-	}}
+	for name, end := range map[string]func(t *testing.T, j *recorder.Journal){
+		"read": func(_ *testing.T, j *recorder.Journal) { j.MarkAvailable() },
+		"probe": func(t *testing.T, j *recorder.Journal) {
+			wait(t, "a probe ends the outage", func() bool { return j.Outage() == 0 })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var down atomic.Bool
+			down.Store(true)
+			l := &log{fail: func(int) error {
+				if down.Load() {
+					return &classifier.Error{Kind: classifier.Unanswered}
+				}
+				return nil
+			}}
+			j := serveJournal(t, l)
+			value := replicator.Value{Name: "a"}
+			ctx := context.Background()
+			assert.Assert(t, classifier.Is(j.Add(ctx, value), classifier.Unanswered))
+			assert.Assert(t, j.Outage() > 0)
+			wait(t, "the log is probed", func() bool {
+				assert.Assert(t, classifier.Is(j.Add(ctx, value), classifier.Busy))
+				return len(l.all()) >= 3
+			})
+			for _, a := range l.all()[1:] {
+				assert.Equal(t, len(a.Values), 0, "a value was sent during the outage")
+			}
+			down.Store(false)
+			end(t, j)
+			assert.NilError(t, j.Add(ctx, value))
+			assert.Equal(t, j.Outage(), time.Duration(0))
+		})
+	}
+}
+
+// A value that is still queued at its caller's deadline is not sent any more, and the
+// caller is told so: it may say "not run", and its client may try again.
+func TestValuesPastTheirDeadlineAreNotSent(t *testing.T) {
+	l := &log{gate: make(chan struct{})}
 	j := serveJournal(t, l)
-	value := replicator.Value{Name: "a"}
-	ctx := context.Background()
-	assert.Assert(t, classifier.Is(j.Add(ctx, value), classifier.Unanswered))
-	assert.Assert(t, j.Outage() > 0)
-	assert.Assert(t, classifier.Is(j.Add(ctx, value), classifier.Unanswered), "one value is admitted as a probe")
-	sent := len(l.all())
-	assert.Assert(t, classifier.Is(j.Add(ctx, value), classifier.Busy))
-	assert.Equal(t, len(l.all()), sent)
-	mu.Lock()
-	down = false
-	mu.Unlock()
-	j.MarkAvailable()
-	assert.NilError(t, j.Add(ctx, value))
-	assert.Equal(t, j.Outage(), time.Duration(0))
+	var group errgroup.Group
+	group.Go(func() error { return j.Add(context.Background(), replicator.Value{Name: "sent"}) })
+	wait(t, "the first append is sent", func() bool { return len(l.all()) == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, classifier.NotExecuted(j.Add(ctx, replicator.Value{Name: "late"})))
+	close(l.gate)
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, j.Add(context.Background(), replicator.Value{Name: "next"}))
+	for _, a := range l.all() {
+		for _, v := range a.Values {
+			assert.Assert(t, v.Name != "late", "a value was sent after its caller was told that it was not")
+		}
+	}
 }
 
 func TestJournalBatchesQueuedValues(t *testing.T) {
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -58,17 +58,22 @@
 const maxFullSteps = 64
 
 const (
-	// urgentRetryPause and retryPause are how long a step is not visited again that
-	// found no room, so that a backlog does not make each pass visit all of it.
-	urgentRetryPause = 30 * time.Millisecond
-	retryPause       = 100 * time.Millisecond
+	// urgentRetryPausePerStep and retryPausePerStep give, for each waiting step, how
+	// long one that found no room is not visited again, up to maxUrgentRetryPause and
+	// maxRetryPause. Each pass would otherwise visit all of a backlog; where few steps
+	// wait, each is visited by every pass.
+	urgentRetryPausePerStep = 100 * time.Microsecond
+	retryPausePerStep       = 300 * time.Microsecond
+	maxUrgentRetryPause     = 30 * time.Millisecond
+	maxRetryPause           = 100 * time.Millisecond
 )
 
 // deferStep has the next passes leave out a step that found no room.
 func (p *placementPass) deferStep(r stepRef) {
-	pause := retryPause
+	backlog := time.Duration(p.waiting.Len())
+	pause := min(backlog*retryPausePerStep, maxRetryPause)
 	if r.job.Job.Queue.Priority == 0 {
-		pause = urgentRetryPause
+		pause = min(backlog*urgentRetryPausePerStep, maxUrgentRetryPause)
 	}
 	p.retryAt = p.retryAt.With(r.key, p.now.Add(pause))
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -492,6 +492,9 @@
 	if rpc == nil {
 		return errNoLeader
 	}
+	if ctx.Err() != nil {
+		return &classifier.Error{Kind: classifier.Unsent, Call: method, Cause: ctx.Err()}
+	}
 	err := rpc.Call(ctx, method, params, result)
 	var refused *jsonrpc2.Error
 	switch {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -155,6 +155,9 @@
 		assert.Assert(t, err != nil)
 		assert.Equal(t, classifier.NotExecuted(err), undone, "%v", err)
 	}
+	late, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, classifier.NotExecuted(other.link.Add(late, replicator.Value{Name: "k"})), "a call past its deadline is not sent")
 }
 
 // A link that fails because the entry does not lead is told apart from one that
