Change each worker and job once an event; count the calls of a pass once

Of its time at 1,100 workers a fifth went to the choice of workers to ask about, which counted all advice calls anew for each one and built sets and strings for each worker, and a fifth to several changes of the same worker and job in the persistent tables during one event.

Change: a transition keeps the worker and the job that changed last aside (draft). A pass counts calls by slot, once; nominees hold no strings and their space is reused; what advice has said of a worker is one map.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -122,16 +122,16 @@
 		p.deferStep(r)
 		return
 	}
-	workers := make([]string, len(queried))
-	for i, o := range queried {
-		workers[i] = o.id
+	workers, counts := make([]string, len(queried)), p.countCalls()
+	for i, slot := range queried {
+		workers[i] = p.slots[slot].ID
+		counts[slot]++
 	}
 	p.lastAdviceCall++
 	a := adviceCall{
 		number: p.lastAdviceCall, step: r.key, queue: r.job.Job.Queue.Name, caller: caller, sent: p.now,
 		estimate: advice.PerCall + time.Duration(len(workers))*advice.PerWorker, workers: workers,
 	}
-	p.callCounts = nil // recounted for the next call
 	have.calling = true
 	p.permits = p.permits.With(r.key, have)
 	p.adviceCalls = p.adviceCalls.With(strconv.FormatInt(a.number, 10), a)
@@ -216,7 +216,7 @@
 // remainingTime estimates the remaining time of a run, by its progress if that is
 // known and by the estimate of its step otherwise.
 func (t *transition) remainingTime(id ledger.TaskID, task ledger.Task, estimate time.Duration) time.Duration {
-	w, ok := t.workers.Get(task.Worker)
+	w, ok := t.fleet.get(task.Worker)
 	if !ok {
 		return estimate
 	}
@@ -263,12 +263,12 @@
 	if valid == 0 {
 		valid = r.job.Job.Queue.Advice.TTL
 	}
-	known := len(have.permitted)
+	first := len(have.known) == 0
 	have = have.with(a.workers, e.Permits, t.now, t.now.Add(valid-ticketMargin))
 	have.nextCall = t.now.Add(adviceInterval)
 	t.permits = t.permits.With(a.step, have)
 	t.emit(Decision{What: "advice", Job: r.job.Job.ID, Task: a.step, Peer: a.caller, Why: strconv.Itoa(len(e.Permits)) + " of " + strconv.Itoa(len(a.workers)) + " workers permitted"})
-	if known == 0 {
+	if first {
 		t.learnPermitRatio(a, len(e.Permits))
 	}
 }
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -13,6 +13,8 @@
 // so far.
 type transition struct {
 	State
+	fleet       draft[Worker]    // the workers of the state
+	active      draft[ActiveJob] // the jobs of the state
 	now         time.Time
 	effects     []Effect
 	changed     container.Table[bool] // jobs whose progress must be recorded
@@ -23,9 +25,12 @@
 // Apply returns the state after event e at time now and the effects to carry out.
 func (s State) Apply(e Event, now time.Time) (State, []Effect) {
 	t := &transition{State: s, now: now}
+	t.fleet.table, t.active.table = &t.workers, &t.jobs
 	e.apply(t)
 	t.placeWhenDue()
 	t.recordChanges()
+	t.fleet.save()
+	t.active.save()
 	return t.State, t.effects
 }
 
@@ -116,7 +121,7 @@
 		t.emit(Record{Batch: t.batch})
 	}
 	for _, id := range t.changeOrder {
-		job, ok := t.jobs.Get(string(id))
+		job, ok := t.active.get(string(id))
 		if !ok {
 			continue
 		}
@@ -132,7 +137,7 @@
 // removeJob removes a job and the state kept for its steps.
 func (t *transition) removeJob(job ActiveJob) {
 	id := job.Job.ID
-	t.jobs = t.jobs.Without(string(id))
+	t.active.remove(string(id))
 	t.dueRounds = t.dueRounds.Without(string(id))
 	for round := range job.Progress.Rounds {
 		for step := range job.Job.Steps {
@@ -147,12 +152,20 @@
 
 // setJob stores a job whose progress has changed.
 func (t *transition) setJob(job ActiveJob) {
-	t.jobs = t.jobs.With(string(job.Job.ID), job)
+	t.active.set(string(job.Job.ID), job)
 	t.markChanged(job.Job.ID)
 }
 
 func (t *transition) setWorker(w Worker) {
-	t.workers, t.staleSlots = t.workers.With(w.ID, w), t.staleSlots.With(w.ID, true)
+	t.fleet.set(w.ID, w)
+	t.markStale(w.ID)
+}
+
+// markStale has the next placement pass take the slot of a worker anew.
+func (t *transition) markStale(id string) {
+	if !t.staleSlots.Has(id) {
+		t.staleSlots = t.staleSlots.With(id, true)
+	}
 }
 
 // stepKey returns the key of a step of a round.
@@ -185,12 +198,12 @@
 // addRuns adds n to the number of runs of a job. When the last run of an ended
 // job is gone, the job's final record is due.
 func (t *transition) addRuns(id ledger.ID, n int) {
-	job, ok := t.jobs.Get(string(id))
+	job, ok := t.active.get(string(id))
 	if !ok {
 		return
 	}
 	job = job.WithRuns(n)
-	t.jobs = t.jobs.With(string(id), job)
+	t.active.set(string(id), job)
 	if job.Runs == 0 && job.Progress.State.Final() {
 		t.markChanged(id)
 	}
@@ -209,7 +222,7 @@
 	for len(t.commitWaiters) > 0 && t.commitWaiters[0].batch <= e.Batch {
 		d := t.commitWaiters[0]
 		t.commitWaiters = t.commitWaiters[1:]
-		w, ok := t.workers.Get(d.worker)
+		w, ok := t.fleet.get(d.worker)
 		if !ok {
 			continue
 		}
@@ -232,7 +245,7 @@
 // sendStart orders the start of a run whose record is in the log, unless the start
 // has become impossible meanwhile.
 func (t *transition) sendStart(w Worker, p Placement) {
-	job, ok := t.jobs.Get(string(p.Task.Job))
+	job, ok := t.active.get(string(p.Task.Job))
 	if !ok || job.Progress.State.Final() {
 		t.removePlacement(w, p)
 		return
@@ -284,7 +297,7 @@
 // requeue makes the task of an ended run wait for another run. A non-empty saved
 // is its latest checkpoint.
 func (t *transition) requeue(p Placement, saved string) {
-	job, ok := t.jobs.Get(string(p.Task.Job))
+	job, ok := t.active.get(string(p.Task.Job))
 	if !ok || !job.Progress.HasTask(p.Task) {
 		return
 	}
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -101,7 +101,7 @@
 			}
 			id := p.Task
 			id.Index = index
-			w, _ := t.workers.Get(task.Worker)
+			w, _ := t.fleet.get(task.Worker)
 			other, ok := w.Placements.Get(runKey(id.String(), p.Run))
 			if !ok {
 				other = Placement{}
@@ -115,7 +115,7 @@
 
 // stopGang stops the other members of the gang of a run that was not started.
 func (t *transition) stopGang(p Placement) {
-	job, ok := t.jobs.Get(string(p.Task.Job))
+	job, ok := t.active.get(string(p.Task.Job))
 	if !ok || !job.Progress.HasTask(p.Task) || !job.Job.Steps[p.Task.Step].Gang {
 		return
 	}
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -19,7 +19,7 @@
 )
 
 func (e Accepted) apply(t *transition) {
-	if t.jobs.Has(string(e.Job.ID)) {
+	if _, known := t.active.get(string(e.Job.ID)); known {
 		return
 	}
 	job := ActiveJob{Job: e.Job, ObjectiveEnd: objectiveEnd(e.Job, e.Job.Accepted)}
@@ -28,13 +28,13 @@
 	} else {
 		job.Progress = ledger.NewProgress(e.Job)
 	}
-	t.jobs = t.jobs.With(string(e.Job.ID), job)
+	t.active.set(string(e.Job.ID), job)
 	if e.Progress != nil {
 		t.inheritRuns(job)
 	} else {
 		t.emit(Decision{What: "accept", Job: e.Job.ID, Why: e.Job.Queue.Name})
 	}
-	job, _ = t.jobs.Get(string(e.Job.ID))
+	job, _ = t.active.get(string(e.Job.ID))
 	if job.Progress.State.Final() {
 		t.markChanged(e.Job.ID)
 		return
@@ -60,7 +60,7 @@
 				if task.Phase != ledger.Started {
 					continue
 				}
-				w, ok := t.workers.Get(task.Worker)
+				w, ok := t.fleet.get(task.Worker)
 				if !ok {
 					w = Worker{Listing: Listing{ID: task.Worker}}
 				}
@@ -78,7 +78,7 @@
 // beginDueRounds creates the tasks of the rounds that are due and schedules the
 // next round.
 func (t *transition) beginDueRounds(id ledger.ID) {
-	job, ok := t.jobs.Get(string(id))
+	job, ok := t.active.get(string(id))
 	if !ok || job.Progress.State.Final() {
 		return
 	}
@@ -93,13 +93,13 @@
 		}
 		job = job.WithProgress(job.Progress.WithRoundBegun(job.Job, round))
 	}
-	t.jobs = t.jobs.With(string(id), job)
+	t.active.set(string(id), job)
 }
 
 // rankSteps adds the steps of a job that have idle tasks and may start to the
 // waiting steps, and removes its other steps.
 func (t *transition) rankSteps(id ledger.ID) {
-	job, ok := t.jobs.Get(string(id))
+	job, ok := t.active.get(string(id))
 	if !ok {
 		return
 	}
@@ -175,7 +175,7 @@
 }
 
 func (e CancelAccepted) apply(t *transition) {
-	job, ok := t.jobs.Get(string(e.Job))
+	job, ok := t.active.get(string(e.Job))
 	if !ok || job.Progress.State.Final() {
 		return
 	}
@@ -193,7 +193,7 @@
 	if job.Runs == 0 {
 		return
 	}
-	for _, worker := range t.workers.All() {
+	for _, worker := range t.fleet.all() {
 		for _, p := range worker.Placements.All() {
 			if p.Task.Job == job.Job.ID {
 				worker = t.stopRun(worker, p, why)
@@ -213,7 +213,7 @@
 	if placed {
 		w = t.removePlacement(w, p)
 	}
-	job, ok := t.jobs.Get(string(id.Job))
+	job, ok := t.active.get(string(id.Job))
 	if !ok || !job.Progress.HasTask(id) {
 		return
 	}
@@ -227,7 +227,7 @@
 	switch {
 	case e.Kind == EndDone && !step.LongRunning:
 		t.stopSuperseded(id, task, e.Run)
-		job, _ = t.jobs.Get(string(id.Job))
+		job, _ = t.active.get(string(id.Job))
 		t.completeTask(job, id, task)
 	case task.Run != e.Run || task.Phase != ledger.Started:
 		// The end of a run other than the task's current one changes nothing.
@@ -246,7 +246,7 @@
 	if task.Phase != ledger.Started || task.Run == run {
 		return
 	}
-	w, ok := t.workers.Get(task.Worker)
+	w, ok := t.fleet.get(task.Worker)
 	if !ok {
 		return
 	}
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -11,27 +11,29 @@
 
 // nominee is a worker that an advice call may query.
 type nominee struct {
-	id             string
-	index          int  // among the slots; breaks ties
-	permitted      bool // by an earlier answer
-	fits           int  // tasks of the step that fit into free capacity
+	slot           int32 // index among the slots; breaks ties
+	calls          int32 // advice calls in progress that query it
+	fits           int32 // tasks of the step that fit into free capacity
+	slownessTenths int32 // 0 unless the step is urgent
 	free           int64
-	slownessTenths int // 0 unless the step is urgent
-	calls          int // advice calls in progress that query it
+	permitted      bool // by an earlier answer
 }
 
-// callsQuerying returns how many advice calls in progress query a worker. Steps that
-// wait for them may claim its free capacity first.
-func (p *placementPass) callsQuerying(worker string) int {
-	if p.callCounts == nil {
-		p.callCounts = map[string]int{}
-		for _, a := range p.adviceCalls.All() {
-			for _, id := range a.workers {
-				p.callCounts[id]++
+// countCalls returns, by slot, how many advice calls in progress query a worker. Steps
+// that wait for them may claim its free capacity first.
+func (p *placementPass) countCalls() []int32 {
+	if p.callCounts != nil {
+		return p.callCounts
+	}
+	p.callCounts = make([]int32, len(p.slots))
+	for _, a := range p.adviceCalls.All() {
+		for _, id := range a.workers {
+			if i, ok := p.indexByID[id]; ok {
+				p.callCounts[i]++
 			}
 		}
 	}
-	return p.callCounts[worker]
+	return p.callCounts
 }
 
 // countIdle returns the number of idle tasks of a step.
@@ -45,11 +47,11 @@
 	return idle
 }
 
-// chooseNominees chooses the workers that an advice call queries, in the order of
+// chooseNominees returns the slots of the workers that an advice call queries, in the order of
 // nominees, until they have enough capacity for the step at the expected fraction
 // of permitted workers. It returns none if no worker has room, as a call would be
 // useless.
-func (p *placementPass) chooseNominees(r stepRef, have permits) []nominee {
+func (p *placementPass) chooseNominees(r stepRef, have permits) []int32 {
 	ratio, ok := p.permitRatios.Get(r.job.Job.Queue.Name)
 	if !ok {
 		ratio = initialPermitRatio
@@ -57,14 +59,14 @@
 	idle := p.countIdle(r)
 	candidates := p.nominees(r, have, idle)
 	heap.Init(&candidates)
-	var chosen []nominee
+	var chosen []int32
 	found, unknown := p.ticketedCapacity(r, have, idle), 0
 	for len(candidates) > 0 && len(chosen) < maxQueried {
 		if found >= capacityMargin*float64(idle) && (unknown == 0 || unknown >= minQueried) {
 			break
 		}
 		o := heap.Pop(&candidates).(nominee)
-		chosen = append(chosen, o)
+		chosen = append(chosen, o.slot)
 		if o.permitted {
 			found += capacityMargin * float64(o.fits)
 			continue
@@ -104,35 +106,31 @@
 // urgent steps the faster ones, then those with more room.
 func (p *placementPass) nominees(r stepRef, have permits, idle int) nomineeQueue {
 	size := r.spec().Reservation()
-	var nominees nomineeQueue
-	counts := p.runsByWorker(r)
-	permitted, denied := toSet(have.permitted), toSet(have.denied)
+	nominees := p.nomineeSpace[:0]
+	counts, calls := p.runsByWorker(r), p.countCalls()
 	for _, i := range p.matching(r) {
 		c := &p.slots[i]
-		if denied[c.ID] || p.hasFreshTicket(r, have, c.ID) {
+		if !c.Free.CanFit(size) {
+			continue
+		}
+		permitted, known := have.known[c.ID]
+		if known && !permitted || p.hasFreshTicket(r, have, c.ID) {
 			continue
 		}
 		fits := p.fitsAt(r, c.Free, size, counts[c.ID], idle)
 		if fits == 0 {
 			continue
 		}
-		o := nominee{id: c.ID, index: i, permitted: permitted[c.ID], fits: fits, free: c.Free.CPU, calls: p.callsQuerying(c.ID)}
+		o := nominee{slot: int32(i), permitted: permitted, fits: int32(fits), free: c.Free.CPU, calls: calls[i]}
 		if r.job.Job.Queue.Priority == 0 {
-			o.slownessTenths = placer.SlownessTenths(c.Slowness)
+			o.slownessTenths = int32(placer.SlownessTenths(c.Slowness))
 		}
 		nominees = append(nominees, o)
 	}
+	p.nomineeSpace = nominees
 	return nominees
 }
 
-func toSet(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
-	for _, name := range names {
-		set[name] = true
-	}
-	return set
-}
-
 // nomineeQueue is a heap of nominees, the one to query first on top. A call queries
 // few of many, so that they need not be sorted.
 type nomineeQueue []nominee
@@ -173,7 +171,7 @@
 	case a.free != b.free:
 		return cmp.Compare(b.free, a.free)
 	}
-	return cmp.Compare(a.index, b.index)
+	return cmp.Compare(a.slot, b.slot)
 }
 
 // prefer returns the order of two nominees, given whether the first is better.
--- a/internal/leader/permits.go
+++ b/internal/leader/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -19,9 +18,8 @@
 // change, only the tickets expire.
 type permits struct {
 	tickets    tickets
-	lastExpiry time.Time // expiry of the last ticket
-	permitted  []string  // workers permitted by an answer
-	denied     []string  // workers queried and not permitted
+	lastExpiry time.Time       // expiry of the last ticket
+	known      map[string]bool // workers that were queried, and whether an answer permitted them; never changed
 	calling    bool
 	nextCall   time.Time // no other call before this time
 }
@@ -43,19 +41,15 @@
 			held[id] = t
 		}
 	}
-	permitted := make(map[string]bool, len(answer))
+	known := make(map[string]bool, len(p.known)+len(queried))
+	maps.Copy(known, p.known)
+	for _, id := range queried {
+		known[id] = known[id]
+	}
 	for _, a := range answer {
 		held[a.Worker] = ticket{a.Ticket, until}
-		permitted[a.Worker] = true
-	}
-	p.tickets, p.lastExpiry = held, until
-	for _, id := range queried {
-		switch {
-		case permitted[id] && !slices.Contains(p.permitted, id):
-			p.permitted = append(p.permitted[:len(p.permitted):len(p.permitted)], id)
-		case !permitted[id]:
-			p.denied = append(p.denied[:len(p.denied):len(p.denied)], id)
-		}
+		known[a.Worker] = true
 	}
+	p.tickets, p.lastExpiry, p.known = held, until, known
 	return p
 }
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -18,7 +18,8 @@
 	fitting        []*placer.Candidate   // candidates with room for a task; reused between choices
 	fittingIndex   []int                 // index in slots of each in fitting
 	matchCache     map[requirement][]int // candidates that meet each requirement
-	callCounts     map[string]int        // advice calls in progress by worker that they query, nil until counted
+	callCounts     []int32               // advice calls in progress that query each slot, nil until counted
+	nomineeSpace   nomineeQueue          // reused between advice calls
 	callersBusy    map[bool]bool         // no entry is idle for a long (true) or short call
 	fullSteps      int                   // steps with tickets and without room
 	failedSearches int                   // steps without room anywhere that an advice call could query
@@ -33,6 +34,7 @@
 	if t.waiting.Len() == 0 && t.prefetch.Len() == 0 {
 		return
 	}
+	t.fleet.save()
 	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
@@ -97,7 +99,7 @@
 	if err != nil {
 		return stepRef{}, false
 	}
-	job, ok := t.jobs.Get(string(id.Job))
+	job, ok := t.active.get(string(id.Job))
 	if !ok || job.Progress.State.Final() {
 		return stepRef{}, false
 	}
@@ -157,7 +159,7 @@
 
 // jobState returns the current state of a job, including changes by this pass.
 func (p *placementPass) jobState(id ledger.ID) ledger.State {
-	job, ok := p.jobs.Get(string(id))
+	job, ok := p.active.get(string(id))
 	if !ok {
 		return ledger.Complete
 	}
@@ -176,7 +178,7 @@
 			continue // never placed; a done task may still have a run if an earlier run ended late
 		}
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
-		if w, ok := p.workers.Get(task.Worker); ok && w.Placements.Has(runKey(id.String(), task.Run)) {
+		if w, ok := p.fleet.get(task.Worker); ok && w.Placements.Has(runKey(id.String(), task.Run)) {
 			counts[task.Worker]++
 		}
 	}
@@ -258,8 +260,8 @@
 // the log.
 func (p *placementPass) placeRun(r stepRef, id ledger.TaskID, run, i int, held tickets) {
 	c := &p.slots[i]
-	w, _ := p.workers.Get(c.ID)
-	job, _ := p.jobs.Get(string(id.Job))
+	w, _ := p.fleet.get(c.ID)
+	job, _ := p.active.get(string(id.Job))
 	spec := r.spec()
 	task := job.Progress.Task(id.Round, id.Step, id.Index)
 	progress := job.Progress.WithTask(id, task.WithRun(run, c.ID))
@@ -295,7 +297,7 @@
 	}
 	size := r.spec().Reservation()
 	missing := 0
-	job, _ := p.jobs.Get(string(r.job.Job.ID)) // includes the tasks that this pass has placed
+	job, _ := p.active.get(string(r.job.Job.ID)) // includes the tasks that this pass has placed
 	for _, task := range job.Progress.Step(r.round, r.step) {
 		if task.Phase == ledger.Idle {
 			missing++
@@ -305,7 +307,7 @@
 		id := p.slots[i].ID
 		for missing > 0 && p.belowLimit(r, id, counts) && p.makeRoom(i, size) {
 			p.slots[i].freeAfterStops = p.slots[i].freeAfterStops.Minus(size)
-			p.staleSlots = p.staleSlots.With(id, true) // the claim ends with the pass
+			p.markStale(id) // the claim ends with the pass
 			counts[id]++
 			missing--
 		}
@@ -323,7 +325,7 @@
 	if !c.freeAfterStops.Plus(c.preemptible).CanFit(size) {
 		return false
 	}
-	w, _ := p.workers.Get(c.ID)
+	w, _ := p.fleet.get(c.ID)
 	free := c.freeAfterStops
 	var victims []Placement
 	for _, placed := range w.Placements.All() {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -15,7 +15,7 @@
 )
 
 func (e Listed) apply(t *transition) {
-	w, known := t.workers.Get(e.Listing.ID)
+	w, known := t.fleet.get(e.Listing.ID)
 	watched := known && w.Listed
 	moved := watched && w.Address != e.Listing.Address
 	startsDraining := e.Listing.Draining && !w.Draining
@@ -37,7 +37,7 @@
 }
 
 func (e Unlisted) apply(t *transition) {
-	w, ok := t.workers.Get(e.ID)
+	w, ok := t.fleet.get(e.ID)
 	if !ok || !w.Listed {
 		return
 	}
@@ -53,12 +53,13 @@
 	if w.Listed || w.Placements.Len() > 0 || len(w.UnackedEnds) > 0 {
 		return
 	}
-	t.workers, t.staleSlots = t.workers.Without(w.ID), t.staleSlots.With(w.ID, true)
+	t.fleet.remove(w.ID)
+	t.markStale(w.ID)
 	t.emit(StopPolling{Worker: w.ID})
 }
 
 func (e PollFailed) apply(t *transition) {
-	w, ok := t.workers.Get(e.Worker)
+	w, ok := t.fleet.get(e.Worker)
 	if !ok {
 		return
 	}
@@ -72,7 +73,7 @@
 }
 
 func (e PollerLost) apply(t *transition) {
-	w, ok := t.workers.Get(e.Worker)
+	w, ok := t.fleet.get(e.Worker)
 	if !ok {
 		return
 	}
@@ -104,7 +105,7 @@
 }
 
 func (e Reported) apply(t *transition) {
-	w, ok := t.workers.Get(e.Worker)
+	w, ok := t.fleet.get(e.Worker)
 	if !ok {
 		return
 	}
@@ -123,7 +124,7 @@
 	if !outdated && !e.Report.Partial {
 		t.loseAbsent(w.ID, e, t.handleRunning(w.ID, e), restarted)
 	}
-	w, _ = t.workers.Get(w.ID)
+	w, _ = t.fleet.get(w.ID)
 	if !e.Report.Partial {
 		t.throttle(w)
 	}
@@ -145,7 +146,7 @@
 			continue
 		}
 		t.handleEnd(w, end)
-		w, _ = t.workers.Get(w.ID)
+		w, _ = t.fleet.get(w.ID)
 		w = w.WithEnd(end.Number, t.nextBatch())
 		t.setWorker(w)
 	}
@@ -166,7 +167,7 @@
 // their keys.
 func (t *transition) handleRunning(id string, e Reported) map[string]bool {
 	listed := make(map[string]bool, len(e.Report.Running))
-	w, _ := t.workers.Get(id)
+	w, _ := t.fleet.get(id)
 	for _, r := range e.Report.Running {
 		key := runKey(r.Task, r.Number)
 		listed[key] = true
@@ -195,7 +196,7 @@
 
 // superviseRun stops a reported run that should not go on, and returns the worker.
 func (t *transition) superviseRun(w Worker, p Placement) Worker {
-	job, known := t.jobs.Get(string(p.Task.Job))
+	job, known := t.active.get(string(p.Task.Job))
 	if !known || job.Progress.State.Final() {
 		return t.stopRun(w, p, "its job has ended")
 	}
@@ -223,7 +224,7 @@
 		return w
 	}
 	p := Placement{Task: id, Run: r.Number, Stage: Running, AnsweredAt: t.now, StartedAt: t.now, Checkpoint: r.Checkpoint}
-	if job, ok := t.jobs.Get(string(id.Job)); ok && id.Step < len(job.Job.Steps) {
+	if job, ok := t.active.get(string(id.Job)); ok && id.Step < len(job.Job.Steps) {
 		p.Size = job.Job.Steps[id.Step].Reservation()
 	}
 	w = t.putPlacement(w, p)
@@ -236,7 +237,7 @@
 	if len(e.Report.Ended) >= maxReportedEnds {
 		return
 	}
-	w, _ := t.workers.Get(id)
+	w, _ := t.fleet.get(id)
 	for key, p := range w.Placements.All() {
 		if listed[key] {
 			continue
@@ -255,7 +256,7 @@
 }
 
 func (e OrderAnswered) apply(t *transition) {
-	w, ok := t.workers.Get(e.Worker)
+	w, ok := t.fleet.get(e.Worker)
 	if !ok {
 		return
 	}
@@ -314,6 +315,6 @@
 		t.exclude(w, "refused a start")
 	}
 	t.stopGang(p)
-	w, _ = t.workers.Get(w.ID) // stopGang may have changed it
+	w, _ = t.fleet.get(w.ID) // stopGang may have changed it
 	t.loseRun(w, p, "worker refused the start")
 }
--- a/internal/leader/speed.go
+++ b/internal/leader/speed.go
@@ -77,7 +77,7 @@
 // recordRunTime compares the time of a completed run with the mean of its step. The
 // tasks of a step are alike, so a longer run indicates a slow worker.
 func (t *transition) recordRunTime(id string, p Placement, step ledger.Step) {
-	w, ok := t.workers.Get(id)
+	w, ok := t.fleet.get(id)
 	if !ok || !p.FromStart || p.StartedAt.IsZero() || step.LongRunning || step.Gang || step.BestEffort {
 		return
 	}
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -48,7 +48,7 @@
 	}
 	t.demoteLate()
 	t.failCalls(func(a adviceCall) bool { return t.now.Sub(a.sent) > a.estimate+callTimeoutSlack })
-	for _, w := range t.workers.All() {
+	for _, w := range t.fleet.all() {
 		t.checkWorker(w)
 	}
 }
@@ -112,7 +112,7 @@
 // trackFailures counts the consecutive failed runs of a worker and excludes it
 // temporarily if runs of several jobs fail there.
 func (t *transition) trackFailures(id string, job ActiveJob, task ledger.TaskID, e RunEnd) {
-	w, ok := t.workers.Get(id)
+	w, ok := t.fleet.get(id)
 	if !ok {
 		return
 	}
@@ -136,7 +136,7 @@
 // or too many others are, and returns the worker.
 func (t *transition) exclude(w Worker, why string) Worker {
 	listed, excluded := 0, 0
-	for _, other := range t.workers.All() {
+	for _, other := range t.fleet.all() {
 		if other.Listed {
 			listed++
 			if t.now.Before(other.ExcludedUntil) {
@@ -158,7 +158,7 @@
 // estimated to end before that continue.
 func (t *transition) drain(w Worker) {
 	for _, p := range w.Placements.All() {
-		job, ok := t.jobs.Get(string(p.Task.Job))
+		job, ok := t.active.get(string(p.Task.Job))
 		if !ok || p.Stage != Running && p.Stage != Inherited {
 			continue
 		}
