Relay through strong entries; keep values of tables behind pointers

Change: relays are chosen like standbys: those that reach the log, then the strong ones, then the zone; one that fails is left. Tables keep their values behind pointers, since each change copies the nodes on its path.

--- a/internal/container/table.go
+++ b/internal/container/table.go
@@ -11,21 +11,27 @@
 // Table is a persistent map from a name to a value. The cost of a change is less
 // than linear in the number of entries. The zero value is an empty table.
 type Table[V any] struct {
-	entries *immutable.Map[string, V]
+	// Values are behind pointers, since a change copies the nodes on its path.
+	entries *immutable.Map[string, *V]
 }
 
 // Get returns the value stored under name.
 func (t Table[V]) Get(name string) (V, bool) {
-	if t.entries == nil {
-		var zero V
-		return zero, false
+	if t.entries != nil {
+		if value, ok := t.entries.Get(name); ok {
+			return *value, true
+		}
 	}
-	return t.entries.Get(name)
+	var zero V
+	return zero, false
 }
 
 // Has reports whether name is present.
 func (t Table[V]) Has(name string) bool {
-	_, ok := t.Get(name)
+	if t.entries == nil {
+		return false
+	}
+	_, ok := t.entries.Get(name)
 	return ok
 }
 
@@ -40,9 +46,9 @@
 // With returns a table in which name maps to value.
 func (t Table[V]) With(name string, value V) Table[V] {
 	if t.entries == nil {
-		t.entries = immutable.NewMap[string, V](nil)
+		t.entries = immutable.NewMap[string, *V](nil)
 	}
-	t.entries = t.entries.Set(name, value)
+	t.entries = t.entries.Set(name, &value)
 	return t
 }
 
@@ -64,7 +70,7 @@
 		it := t.entries.Iterator()
 		for !it.Done() {
 			name, value, _ := it.Next()
-			if !yield(name, value) {
+			if !yield(name, *value) {
 				return
 			}
 		}
--- a/internal/leader/cell_bench_test.go
+++ b/internal/leader/cell_bench_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
 )
 
@@ -54,5 +53,3 @@
 		}
 	}
 }
-
-var _ leader.Effect = leader.Order{}
--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -63,7 +63,6 @@
 	results map[string]cellResult
 	calls   int
 	starts  int
-	expired int           // starts whose ticket had expired
 	control time.Duration // real time that the leader has taken
 	peak    int           // most waiting steps
 }
--- a/internal/leader/permits.go
+++ b/internal/leader/permits.go
@@ -44,7 +44,9 @@
 	known := make(map[string]bool, len(p.known)+len(queried))
 	maps.Copy(known, p.known)
 	for _, id := range queried {
-		known[id] = known[id]
+		if !known[id] {
+			known[id] = false
+		}
 	}
 	for _, a := range answer {
 		held[a.Worker] = ticket{a.Ticket, until}
--- a/internal/linker/relay.go
+++ b/internal/linker/relay.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/endivelock/endivelock/internal/classifier"
+	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/replicator"
 )
 
@@ -33,8 +34,7 @@
 	Number int64           `json:"number"`
 }
 
-// Append adds values to a stream through linked entries. It first tries the entry
-// that last succeeded.
+// Append adds values to a stream through linked entries.
 func (l *Linker) Append(ctx context.Context, a replicator.Append) (replicator.Position, error) {
 	a.Timeout = relayTimeout
 	var err error = &classifier.Error{Kind: classifier.Unsent, Call: methodAppend, Reason: "no entry is linked"}
@@ -45,6 +45,7 @@
 			l.setLastRelay(name)
 			return position, err
 		}
+		l.setLastRelay("")
 		if a.Writer == "" && !classifier.NotExecuted(err) {
 			return position, err // without a sequence number, a retry could add the values twice
 		}
@@ -56,19 +57,7 @@
 func (l *Linker) relayCandidates() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var names []string
-	if _, ok := l.entries[l.lastRelay]; ok {
-		names = append(names, l.lastRelay)
-	}
-	for name := range l.entries {
-		if len(names) >= maxRelayAttempts {
-			break
-		}
-		if name != l.lastRelay {
-			names = append(names, name)
-		}
-	}
-	return names
+	return keeper.ChooseRelays(l.Viewer.Snapshot().Self, l.candidates(), l.lastRelay, maxRelayAttempts)
 }
 
 func (l *Linker) setLastRelay(name string) {
--- a/internal/linker/standby.go
+++ b/internal/linker/standby.go
@@ -24,11 +24,16 @@
 	if len(l.standbys) >= min(minStandbys, len(l.entries)) && time.Since(l.chosenAt) < standbyInterval {
 		return
 	}
+	l.standbys, l.chosenAt = keeper.ChooseStandbys(self, l.candidates(), l.standbys, minStandbys, maxStandbys), time.Now()
+}
+
+// candidates returns the linked entries. The caller holds the lock.
+func (l *Linker) candidates() []keeper.Candidate {
 	candidates := make([]keeper.Candidate, 0, len(l.entries))
 	for name, p := range l.entries {
 		candidates = append(candidates, keeper.Candidate{Name: name, Zone: p.zone, CPUShare: p.strength, ReadsLog: p.readsLog})
 	}
-	l.standbys, l.chosenAt = keeper.ChooseStandbys(self, candidates, l.standbys, minStandbys, maxStandbys), time.Now()
+	return candidates
 }
 
 // Standbys returns the sorted names of the entries that are to be able to take over
