Give the workers of a zone to one deputy

Starts and ends of 1,100 workers were spread over 17 deputies, whose batches had one order each: thousands of calls a second between the leader and its deputies.

Change: a deputy takes 250 workers a core, and the one of the zone that has the most workers gets the next one until it is full.

--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -27,8 +27,9 @@
 	maxLocal = 64
 	minLocal = 8
 	// workersPerCore is the number of workers that a deputy calls for each whole core
-	// of its share of a processor.
-	workersPerCore = 100
+	// of its share of a processor. Few deputies with many workers each cost the leader
+	// less than many, since a batch has more in it.
+	workersPerCore = 250
 	// flushInterval is the least time between two batches to or from a deputy.
 	flushInterval = 8 * time.Millisecond
 	// commandTimeout bounds the passing of one batch of commands. A deputy only queues
@@ -331,8 +332,8 @@
 }
 
 // choose returns the deputy for a worker in a zone: one with capacity left, the
-// strongest, then one in the same zone, then the one with the least to do. It returns
-// nil if none has capacity left.
+// strongest, then one in the same zone, then the one that has the most workers already,
+// so that batches are few. It returns nil if none has capacity left.
 func (d *Delegator) choose(zone string) *deputy {
 	var best *deputy
 	for _, p := range d.deputies {
@@ -354,7 +355,7 @@
 		return near
 	}
 	if p.workers != other.workers {
-		return p.workers < other.workers
+		return p.workers > other.workers
 	}
 	return p.entry.Name < other.entry.Name
 }
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -265,6 +265,25 @@
 	assert.Equal(t, c.workers["a"].orderCount()+c.workers["b"].orderCount(), 1)
 }
 
+// Load pattern: commands and events of thousands of tasks a second. A batch costs the
+// leader about as much as ten orders in it, so one deputy gets the workers of its zone
+// before another one gets any.
+func TestAsFewDeputiesAsCanCarryTheWorkers(t *testing.T) {
+	c := newCell(t, -1, "a", "b")
+	for i := range 20 {
+		w := fmt.Sprintf("w%d", i)
+		c.delegator.Watch(watch(w))
+		c.delegator.Order(start(w))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.workers["a"].orderCount()+c.workers["b"].orderCount() == 20 {
+			return poll.Success()
+		}
+		return poll.Continue("not all orders sent yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, c.workers["a"].orderCount()*c.workers["b"].orderCount(), 0)
+}
+
 // The workers of a lost deputy get another caller at once. What it was told to do may
 // still be done, and leases that it has renewed are in force.
 func TestOthersTakeOverTheWorkersOfALostDeputy(t *testing.T) {
