Refuse jobs that no process can hold; set such records aside

Cause: a job with two steps of 9e18 tasks passed the bound of the sum, which overflowed, and one with 2e9 occurrences had no bound. Each was written to the log, ended the leader when it made room for the tasks, and then each entry that took over.

At most 1,000 steps, since each change looks at all.

--- a/internal/encoder/jobs.go
+++ b/internal/encoder/jobs.go
@@ -21,7 +21,8 @@
 	return replicator.Value{Name: keeper.CancelName(id), Data: []byte("{}")}
 }
 
-// JobChange decodes a value of the stream of jobs.
+// JobChange decodes a value of the stream of jobs. A job that can't be scheduled is an
+// error.
 func JobChange(v replicator.Value) (keeper.JobChange, error) {
 	id, cancel := keeper.SplitName(v.Name)
 	c := keeper.JobChange{Offset: v.Offset, ID: id, Cancel: cancel, Dropped: v.Data == nil}
@@ -30,6 +31,13 @@
 	}
 	c.Job = &ledger.Job{}
 	err := json.Unmarshal(v.Data, c.Job)
+	switch {
+	case err != nil:
+	case c.Job.ID != id:
+		err = errors.Newf("the record is that of job %q", c.Job.ID)
+	default:
+		err = c.Job.Validate()
+	}
 	return c, errors.Wrapf(err, "decode job %s at offset %d", v.Name, v.Offset)
 }
 
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -22,6 +22,12 @@
 	if _, known := t.active.get(string(e.Job.ID)); known {
 		return
 	}
+	if e.Progress != nil {
+		if err := e.Progress.Validate(e.Job); err != nil {
+			t.emit(Decision{What: "ignore", Job: e.Job.ID, Why: err.Error()})
+			return
+		}
+	}
 	job := ActiveJob{Job: e.Job, ObjectiveEnd: objectiveEnd(e.Job, e.Job.Accepted)}
 	if e.Progress != nil {
 		job.Progress = *e.Progress
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,6 +15,7 @@
 package ledger
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -155,6 +156,59 @@
 	Accepted time.Time `json:"accepted"`           // by the clock of the entry that accepted it
 }
 
+const (
+	// MaxTasks bounds the tasks of one occurrence of a job.
+	MaxTasks = 100_000
+	// MaxSteps bounds the steps of a job. Each change of a task looks at all of them.
+	MaxSteps = 1000
+	// MaxRounds bounds the occurrences of a job.
+	MaxRounds = 10_000
+)
+
+// Validate returns why a job can't be scheduled, or nil. A job that is not valid must
+// not be accepted, and a record of one not be used: whoever made room for its tasks
+// could not go on.
+func (j Job) Validate() error {
+	if len(j.Steps) == 0 {
+		return errors.New("steps: a job needs at least one")
+	}
+	if len(j.Steps) > MaxSteps {
+		return fmt.Errorf("steps: %d, at most %d are allowed", len(j.Steps), MaxSteps)
+	}
+	if s := j.Schedule; s != nil && (s.Times < 1 || s.Times > MaxRounds || s.Interval < 0) {
+		return fmt.Errorf("a job runs between 1 and %d times at an interval of 0 or more, not %d times at %v", MaxRounds, s.Times, s.Interval)
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if err := s.validate(i); err != nil {
+			return fmt.Errorf("steps[%d]: %w", i, err)
+		}
+		if tasks += s.Count; tasks > MaxTasks {
+			return fmt.Errorf("steps: %d tasks, at most %d are allowed", tasks, MaxTasks)
+		}
+	}
+	return nil
+}
+
+// validate returns why a step at an index can't be scheduled, or nil.
+func (s Step) validate(index int) error {
+	if s.Count < 1 {
+		return fmt.Errorf("count is %d, it has to be 1 or more", s.Count)
+	}
+	if s.Count > MaxTasks {
+		return fmt.Errorf("%d tasks, at most %d are allowed", s.Count, MaxTasks)
+	}
+	if r := s.Request; r.CPU < 0 || r.Memory < 0 || r.GPU < 0 || s.Estimate < 0 {
+		return errors.New("the size and the run time of a task must not be negative")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return fmt.Errorf("after names step %d, which is not an earlier one", before)
+		}
+	}
+	return nil
+}
+
 // Rounds returns the number of occurrences.
 func (j Job) Rounds() int {
 	if j.Schedule == nil {
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // State is the state of a job.
 type State string
@@ -80,6 +83,27 @@
 	return Progress{State: Queued, Rounds: make([]Round, j.Rounds())}
 }
 
+// Validate returns why this can't be the progress of a job, or nil.
+func (p Progress) Validate(j Job) error {
+	if len(p.Rounds) > j.Rounds() {
+		return fmt.Errorf("progress of %d rounds of a job that has %d", len(p.Rounds), j.Rounds())
+	}
+	for round, r := range p.Rounds {
+		if r.Tasks == nil {
+			continue
+		}
+		if len(r.Tasks) != len(j.Steps) {
+			return fmt.Errorf("round %d has %d steps, the job has %d", round, len(r.Tasks), len(j.Steps))
+		}
+		for step, tasks := range r.Tasks {
+			if len(tasks) != j.Steps[step].Count {
+				return fmt.Errorf("round %d has %d tasks of step %d, the job has %d", round, len(tasks), step, j.Steps[step].Count)
+			}
+		}
+	}
+	return nil
+}
+
 // WithState returns the progress in another state.
 func (p Progress) WithState(s State) Progress {
 	p.State = s
