--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -65,12 +65,15 @@
 	starts  int
 	control time.Duration // real time that the leader has taken
 	peak    int           // most waiting steps
+	// Jobs that are submitted between these times since the start are counted.
+	countFrom, countUntil time.Duration
 }
 
 type simulatedJob struct {
 	queue    *queueLoad
 	accepted time.Time
 	aim      time.Duration
+	counted  bool
 }
 
 // timedEvents is a heap of functions by the time at which they are due.
@@ -188,10 +191,13 @@
 }
 
 func (c *simulatedCell) submit(q *queueLoad) {
-	r := c.results[q.name]
-	r.jobs++
-	c.results[q.name] = r
-	id := ledger.ID(fmt.Sprintf("%s%d", q.name, r.jobs))
+	c.order++
+	id := ledger.ID(fmt.Sprintf("%s%d", q.name, c.order))
+	counted := c.now.Sub(c.start) >= c.countFrom && (c.countUntil == 0 || c.now.Sub(c.start) < c.countUntil)
+	if r := c.results[q.name]; counted {
+		r.jobs++
+		c.results[q.name] = r
+	}
 	advice := q.advice
 	job := ledger.Job{ID: id, Accepted: c.now, Queue: ledger.Queue{
 		Name: q.name, Service: "s", Priority: q.priority, Stretch: q.stretch, Objective: q.objective, Advice: &advice,
@@ -204,7 +210,7 @@
 		job.Steps = append(job.Steps, step)
 	}
 	aim := time.Duration(q.stretch*float64(job.CriticalPath())) + q.objective
-	c.jobs[id] = simulatedJob{q, c.now, aim}
+	c.jobs[id] = simulatedJob{q, c.now, aim, counted}
 	c.apply(leader.Accepted{Job: job})
 }
 
@@ -239,6 +245,9 @@
 		return
 	}
 	delete(c.jobs, record.Job)
+	if !job.counted {
+		return
+	}
 	took := c.now.Add(appendTime).Sub(job.accepted)
 	r := c.results[job.queue.name]
 	switch {
--- a/internal/leader/place_test.go
+++ b/internal/leader/place_test.go
@@ -71,3 +71,36 @@
 	}
 	return n
 }
+
+// Load pattern: a small cell that is full. What becomes free goes to the few steps that
+// wait at once, also if they found no room a moment ago.
+func TestFewWaitingStepsAreVisitedByEachPass(t *testing.T) {
+	h := newHarness(t, 1, ledger.Resources{CPU: 1000, Memory: 8000})
+	step := ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, Estimate: time.Second}
+	h.submit("first", ledger.Queue{}, step)
+	assert.Equal(t, len(h.running), 1)
+	h.submit("second", ledger.Queue{}, step)
+	assert.Equal(t, len(h.running), 1, "there is no room")
+	h.now = h.now.Add(time.Millisecond)
+	h.reportEnds("w00", leader.RunEnd{Number: 1, Task: "first.0.0.0", Run: 1, Kind: leader.EndDone})
+	assert.Equal(t, len(h.running), 2)
+}
+
+// A step runs on workers of its queue's service that carry its label, and waits while
+// there are none.
+func TestTasksRunOnWorkersOfTheirServiceWithTheirLabel(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	add := func(id, service string, labels ...string) {
+		h.now = h.now.Add(time.Millisecond)
+		h.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: service, Labels: labels, Capacity: ledger.Resources{CPU: 8000, Memory: 8000}}})
+		h.report(id)
+	}
+	add("other", "another", "fast")
+	add("plain", "s")
+	h.submit("labelled", ledger.Queue{}, ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "fast"})
+	assert.Equal(t, len(h.running), 0)
+	h.submit("unlabelled", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}})
+	assert.DeepEqual(t, h.running, map[string]string{"unlabelled.0.0.0": "plain"})
+	add("fast", "s", "slow", "fast")
+	assert.DeepEqual(t, h.running, map[string]string{"unlabelled.0.0.0": "plain", "labelled.0.0.0": "fast", "labelled.0.0.1": "fast"})
+}
