--- a/internal/commands/acceptor/acceptor.go
+++ b/internal/commands/acceptor/acceptor.go
@@ -64,12 +64,14 @@
 	}
 	var unanswered error
 	for attempt := 1; ; attempt++ {
-		err := a.attempt(ctx, v)
-		if err == nil {
-			return nil
-		}
-		if !classifier.NotExecuted(err) {
-			unanswered = err
+		var err error
+		for _, journal := range []Journal{a.Leader, a.Own} {
+			if err = journal.Add(ctx, v); err == nil {
+				return nil
+			}
+			if !classifier.NotExecuted(err) {
+				unanswered = err
+			}
 		}
 		if unanswered == nil {
 			a.log(id, what, attempt, err).Warn("write failed; nothing was added to the log")
@@ -83,22 +85,6 @@
 	}
 }
 
-// attempt tries to write a value through the leader, or directly if the leader can't be
-// asked. A leader that says that it did not write the value also tried by way of other
-// entries: the log is down or slow, and does one append of a stream at a time. The error
-// is of a kind that means "not executed" only if that holds for all that was tried.
-func (a *Acceptor) attempt(ctx context.Context, v replicator.Value) error {
-	err := a.Leader.Add(ctx, v)
-	if err == nil || classifier.Is(err, classifier.Busy) {
-		return err
-	}
-	direct := a.Own.Add(ctx, v)
-	if direct != nil && !classifier.NotExecuted(err) {
-		return err
-	}
-	return direct
-}
-
 func (a *Acceptor) log(id ledger.ID, what string, attempt int, err error) *logrus.Entry {
 	return a.Logger.WithFields(logrus.Fields{"job": string(id), "what": what, "attempt": attempt}).WithError(err)
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -420,8 +420,6 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &refused) && refused.Code == codeNotDone:
-		return &classifier.Error{Kind: classifier.Busy, Call: method, Reason: refused.Message}
 	case errors.As(err, &refused) && refused.Code != codeUnknown:
 		return &classifier.Error{Kind: classifier.Refused, Call: method, Reason: refused.Message}
 	}
