Take only reports from after a launch as evidence that a task is lost

The task was declared lost at the end of its lease although it had ended well, ran again and ended well twice.

Change: a report says when it was asked for.

--- a/internal/connector/worker.go
+++ b/internal/connector/worker.go
@@ -52,10 +52,11 @@
 // Report returns the running and the ended tasks of a worker.
 func (w *Workers) Report(ctx context.Context, e scheduler.PollWorker) (scheduler.WorkerReported, error) {
 	var m ReportMessage
+	sent := time.Now()
 	if err := w.post(ctx, e.Address, "/report", LeaseMessage{}, &m); err != nil {
 		return scheduler.WorkerReported{}, err
 	}
-	return scheduler.WorkerReported{Worker: e.Worker, Running: m.Running, Ended: m.Ended}, nil
+	return scheduler.WorkerReported{Worker: e.Worker, Running: m.Running, Ended: m.Ended, Sent: sent}, nil
 }
 
 func (w *Workers) post(ctx context.Context, address, path string, message, result any) error {
--- a/internal/scheduler/cluster_worker_test.go
+++ b/internal/scheduler/cluster_worker_test.go
@@ -71,7 +71,7 @@
 }
 
 func (cl *cluster) report(worker string) scheduler.WorkerReported {
-	e := scheduler.WorkerReported{Worker: worker}
+	e := scheduler.WorkerReported{Worker: worker, Sent: cl.now}
 	for _, wt := range cl.tasks {
 		switch {
 		case wt.worker != worker:
--- a/internal/scheduler/collections.go
+++ b/internal/scheduler/collections.go
@@ -27,6 +27,12 @@
 	return ok
 }
 
+// Time returns the time at which the index holds name, if it does.
+func (a TimeIndex) Time(name string) (time.Time, bool) {
+	at, ok := a.ranking.Score(name)
+	return time.Unix(0, at), ok
+}
+
 // With returns an index that holds name at the given time and at no other.
 func (a TimeIndex) With(at time.Time, name string) TimeIndex {
 	a.ranking = a.ranking.With(name, at.UnixNano())
--- a/internal/scheduler/items_test.go
+++ b/internal/scheduler/items_test.go
@@ -122,6 +122,41 @@
 	assert.Equal(t, i.Attempt, 1)
 }
 
+// Regression test (TestWholeSystemKeepsItsCounts under load): a report from before a task
+// was launched arrived after it, and the worker was slow to answer again. The task was
+// declared lost for not being listed, ran again and ended well twice.
+func TestAReportFromBeforeALaunchIsNoEvidence(t *testing.T) {
+	s, launches := startItem(t, ownerState(1), work("x", scheduler.ItemDeferred, 1, 1))
+	task := launches[0].Tasks[0].ID
+	asked := startTime()
+	s = after(s, time.Second, scheduler.WorkerReported{Worker: "w", Sent: asked})
+	slow := s.Policy.Lease + s.Policy.Drift + time.Second
+	s, early := effectsOf[scheduler.Append](s, slow, scheduler.Ticked{})
+	assert.Equal(t, len(early), 0, "lost by a report from before the launch")
+	s, stale := effectsOf[scheduler.Append](s, slow, scheduler.WorkerReported{Worker: "w", Sent: asked.Add(time.Second)})
+	assert.Equal(t, len(stale), 0, "lost by a report from when it could still start")
+	s, appends := effectsOf[scheduler.Append](s, slow+time.Second, scheduler.WorkerReported{
+		Worker: "w", Ended: []scheduler.TaskEnd{{Task: task, End: scheduler.EndSucceeded}},
+	})
+	assert.Equal(t, len(appends), 1)
+	s = after(s, slow+time.Second, ledger(4, appends[0].Records...))
+	i, _ := s.Items.Get("x")
+	assert.Equal(t, i.Phase, scheduler.ItemDone)
+	assert.Equal(t, i.Attempt, 1)
+}
+
+// A task whose launch never arrived is lost once its worker, asked when it could no longer
+// start there, does not list it.
+func TestATaskThatNeverStartedIsLost(t *testing.T) {
+	s, _ := startItem(t, ownerState(1), work("x", scheduler.ItemDeferred, 1, 1))
+	s = after(s, time.Second, scheduler.WorkerReported{Worker: "w"})
+	s, appends := effectsOf[scheduler.Append](s, s.Policy.Lease+s.Policy.Drift+time.Second, scheduler.WorkerReported{Worker: "w"})
+	assert.Equal(t, len(appends), 1)
+	s = after(s, 0, ledger(4, appends[0].Records...))
+	i, _ := s.Items.Get("x")
+	assert.Equal(t, i.Phase, scheduler.ItemPending)
+}
+
 func TestLostWorkThatMustNotBeRepeatedEndsAsUnknown(t *testing.T) {
 	w := work("x", scheduler.ItemDeferred, 1, 1)
 	w.AtMostOnce = true
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -36,6 +35,7 @@
 	Worker  string
 	Running []string
 	Ended   []TaskEnd
+	Sent    time.Time // when the worker was asked; zero for the time of the event
 }
 
 func (e WorkerReported) apply(t *step) {
@@ -45,7 +45,7 @@
 	reported := make(map[string]bool, len(e.Running)+len(e.Ended))
 	t.reportEnded(e, reported)
 	t.renewRunning(e, reported)
-	t.trackMissing(e.Worker, reported)
+	t.trackMissing(e, reported)
 	lease, _ := t.s.Leases.Get(e.Worker)
 	lease.Heard = t.now
 	lease.Expiry = t.now.Add(t.s.Policy.Lease)
@@ -113,19 +113,33 @@
 	}
 }
 
-// trackMissing stores the time at which each task that the worker does not
-// report counts as lost. A task may be missing because its launch is in transit.
-func (t *step) trackMissing(worker string, reported map[string]bool) {
-	lease, _ := t.s.Leases.Get(worker)
-	tasks, _ := t.s.Tasks.Get(worker)
-	for task := range tasks.All() {
-		switch missing := t.s.MissingTasks.Has(task); {
+// trackMissing declares the tasks lost that a worker does not report although it was
+// asked when they could no longer start there, and stores that time for others that it
+// does not report: the launch of a task may be in transit, and so may be a report from
+// before it.
+func (t *step) trackMissing(e WorkerReported, reported map[string]bool) {
+	sent := e.Sent
+	if sent.IsZero() {
+		sent = t.now
+	}
+	lease, _ := t.s.Leases.Get(e.Worker)
+	tasks, _ := t.s.Tasks.Get(e.Worker)
+	var records []Record
+	for task, item := range tasks.All() {
+		over, missing := t.s.MissingTasks.Time(task)
+		switch {
 		case reported[task] && missing:
 			t.s.MissingTasks = t.s.MissingTasks.Without(task)
 		case !reported[task] && !missing:
 			t.s.MissingTasks = t.s.MissingTasks.With(lease.Expiry.Add(t.s.Policy.Drift), task)
+		case !reported[task] && !sent.Before(over):
+			t.s.MissingTasks = t.s.MissingTasks.With(t.now.Add(appendRetryDelay), task)
+			records = append(records, t.loseTask(item, task)...)
 		}
 	}
+	if len(records) > 0 {
+		t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
+	}
 }
 
 // beginLeases starts tracking the leases on a worker of which this entry became
@@ -172,10 +186,6 @@
 		t.s.WorkerExpiries = t.s.WorkerExpiries.With(t.now.Add(appendRetryDelay), worker)
 		records = append(records, t.loseTasks(worker)...)
 	}
-	for _, task := range t.s.MissingTasks.Due(t.now) {
-		t.s.MissingTasks = t.s.MissingTasks.With(t.now.Add(appendRetryDelay), task)
-		records = append(records, t.loseTask(itemOf(task), task)...)
-	}
 	if len(records) > 0 {
 		t.emit(Append{Stream: ZoneStream(t.s.Self.Zone), Records: records})
 	}
@@ -220,14 +230,6 @@
 	return []Record{FinishRecord{Item: item, Task: task, End: EndLost, Why: "its lease lapsed"}}
 }
 
-// itemOf returns the ID of the item from the name of a task.
-func itemOf(task string) string {
-	for range 2 {
-		task = task[:max(0, strings.LastIndexByte(task, '.'))]
-	}
-	return task
-}
-
 // releaseStaleReservations releases the reservations of starts that were not
 // read back within appendRetryDelay.
 func (t *step) releaseStaleReservations() {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -55,7 +55,7 @@
 	Leases         Table[Lease]         // of held workers
 	ReportsDue     TimeIndex            // held workers by the time at which the next report is requested
 	WorkerExpiries TimeIndex            // held workers by the time at which their tasks are lost
-	MissingTasks   TimeIndex            // tasks that their worker does not report, by the time at which they are lost
+	MissingTasks   TimeIndex            // tasks that their worker does not report, by the time from which on they can no longer start there
 	RefreshChecked time.Time            // when records to repeat were last looked for
 
 	OwnershipChecked time.Time // when every resource was last checked for an owner
