--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,7 +15,6 @@
 package ledger
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -170,7 +169,7 @@
 // could not go on.
 func (j Job) Validate() error {
 	if len(j.Steps) == 0 {
-		return errors.New("steps: a job needs at least one")
+		return fmt.Errorf("steps: a job needs at least one")
 	}
 	if len(j.Steps) > MaxSteps {
 		return fmt.Errorf("steps: %d, at most %d are allowed", len(j.Steps), MaxSteps)
@@ -199,7 +198,7 @@
 		return fmt.Errorf("%d tasks, at most %d are allowed", s.Count, MaxTasks)
 	}
 	if r := s.Request; r.CPU < 0 || r.Memory < 0 || r.GPU < 0 || s.Estimate < 0 {
-		return errors.New("the size and the run time of a task must not be negative")
+		return fmt.Errorf("the size and the run time of a task must not be negative")
 	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
