Send a lost deputy no order that counts as not sent

An entry that had no workers for long became a deputy and counted as silent 12 ms later, since its last report was that old. Its queued orders counted as not sent and their tasks got other workers, but the loop that sends batches chose to send once more before it saw that the deputy was lost.

Change: the commands of a lost deputy are dropped with it, and the loop looks under the lock whether the deputy is still one. The time of silence begins with a deputy's first worker.

The time of silence has no test of its own that fails without it.

--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -226,6 +226,7 @@
 			add(*c.Order, leader.NotSent)
 		}
 	}
+	p.commands = nil // must not be sent any more
 	for _, o := range p.orders {
 		add(o, leader.OutcomeUnknown)
 	}
@@ -287,6 +288,9 @@
 }
 
 func (d *Delegator) assignTo(p *deputy, id string, watch leader.StartPolling) {
+	if p.workers == 0 {
+		p.reported = time.Now() // an idle deputy has no reason to report
+	}
 	p.workers++
 	d.workers[id] = assignment{watch: watch, deputy: p}
 	p.put(Command{Watch: &watch})
@@ -344,6 +348,10 @@
 		case <-p.wake:
 		}
 		d.mu.Lock()
+		if d.deputies[p.entry.Name] != p {
+			d.mu.Unlock()
+			return
+		}
 		if p.began.IsZero() {
 			p.began = time.Now()
 		}
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -284,6 +284,28 @@
 	assert.Equal(t, c.workers["a"].orderCount()*c.workers["b"].orderCount(), 0)
 }
 
+// Regression test (further-grown trouble-2, TWICE and LIMIT): a deputy was lost in the
+// moment in which it was given an order. The order counted as not sent, its task got
+// another worker, and then the order was sent.
+func TestAnOrderThatCountsAsNotSentIsNotSent(t *testing.T) {
+	for range 100 {
+		c := newCell(t, -1, "a")
+		c.delegator.Watch(watch("w"))
+		c.delegator.Order(start("w"))
+		c.delegator.SetEntries(nil)
+		outcome := leader.Outcome(-1)
+		c.sink.await(t, "outcome", func(e leader.Event) bool {
+			a, ok := e.(leader.OrderAnswered)
+			if ok {
+				outcome = a.Outcome
+			}
+			return ok
+		})
+		time.Sleep(2 * time.Millisecond)
+		assert.Assert(t, outcome != leader.NotSent || c.workers["a"].orderCount() == 0)
+	}
+}
+
 // The workers of a lost deputy get another caller at once. What it was told to do may
 // still be done, and leases that it has renewed are in force.
 func TestOthersTakeOverTheWorkersOfALostDeputy(t *testing.T) {
