Let a decided claim hold up no other entry

The entry that takes over read the claim of the entry that resigned late, together with the resignation, and waited 700 ms for that claim although the log had decided it. The log's stand-in also kept one sequence for a writer's name over all streams, where the platform keeps one for each stream, so that every leader lost its first append there.

Change: a leader's record of the claim's epoch or a later one decides the claim. The stand-in numbers each stream's writers apart.

--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -15,13 +15,16 @@
 // WorkersStream is the name of the stream that lists the workers.
 const WorkersStream = "workers"
 
+// writer identifies a writer. Each stream has writers of its own.
+type writer struct{ stream, name string }
+
 // Log emulates the platform's log in memory. The zero value is empty.
 type Log struct {
 	mu           sync.Mutex
 	changed      chan struct{}
 	streams      map[string][]replicator.Value
-	epochs       map[string]int64 // highest epoch by writer
-	next         map[string]int64 // expected sequence number by writer
+	epochs       map[writer]int64 // highest epoch
+	next         map[writer]int64 // expected sequence number
 	droppedEpoch int64            // epoch whose appends are dropped without an answer, 0 for none
 }
 
@@ -31,7 +34,7 @@
 func (l *Log) prepare() {
 	if l.changed == nil {
 		l.changed = make(chan struct{})
-		l.streams, l.epochs, l.next = map[string][]replicator.Value{}, map[string]int64{}, map[string]int64{}
+		l.streams, l.epochs, l.next = map[string][]replicator.Value{}, map[writer]int64{}, map[writer]int64{}
 	}
 }
 
@@ -58,13 +61,14 @@
 		return replicator.Position{}, &classifier.Error{Kind: classifier.OffsetMismatch, Number: end}
 	}
 	if a.Writer != "" {
-		switch epoch := l.epochs[a.Writer]; {
+		w := writer{a.Stream, a.Writer}
+		switch epoch := l.epochs[w]; {
 		case a.Epoch < epoch:
 			return replicator.Position{}, &classifier.Error{Kind: classifier.Fenced}
-		case a.Epoch == epoch && a.Sequence != l.next[a.Writer]:
-			return replicator.Position{}, &classifier.Error{Kind: classifier.OutOfSequence, Number: l.next[a.Writer]}
+		case a.Epoch == epoch && a.Sequence != l.next[w]:
+			return replicator.Position{}, &classifier.Error{Kind: classifier.OutOfSequence, Number: l.next[w]}
 		}
-		l.epochs[a.Writer], l.next[a.Writer] = a.Epoch, a.Sequence+1
+		l.epochs[w], l.next[w] = a.Epoch, a.Sequence+1
 	}
 	for i, v := range a.Values {
 		v.Offset = end + int64(i)
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -134,7 +134,7 @@
 func (t *transition) applyRunChange(c RunChange, old bool) {
 	if c.Claim {
 		if !old {
-			t.lastClaim = t.now
+			t.lastClaim, t.claimOffset = t.now, c.Offset
 		}
 		return
 	}
@@ -157,6 +157,9 @@
 		t.replica = t.replica.withoutLink(t.now)
 	}
 	t.State.lead = *c.Lead
+	if c.Lead.Epoch > t.claimOffset {
+		t.lastClaim = time.Time{} // the claim is decided: an epoch is the offset after its claim
+	}
 	t.recordHeartbeat(old)
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -95,7 +95,8 @@
 	lastRead      time.Time // last successful read of the runs
 	lastLeads     time.Time // last successful read of the stream of leaders
 	lastJobsRead  time.Time // last successful read of the jobs
-	lastClaim     time.Time // when another entry's claim was read
+	lastClaim     time.Time // when another entry's claim was read, zero if it is decided
+	claimOffset   int64     // offset of that claim
 	linkLost      bool
 	// leaderUnreachable means that no process answers at the leader's address,
 	// leaderSteppedDown that it is known not to lead any more.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -115,6 +115,26 @@
 
 // A leader must not be replaced because the log cannot be read: heartbeats travel
 // through the log, and the timeout starts anew once it is readable.
+// A claim that the log has decided must not hold up the next one: its entry may have
+// led and resigned since. A claim that is not decided yet holds up others.
+func TestDecidedClaimsHoldUpNoOther(t *testing.T) {
+	for name, c := range map[string]struct {
+		after    []keeper.RunChange
+		from, to time.Duration
+	}{
+		"undecided":             {nil, 400 * time.Millisecond, 600 * time.Millisecond},
+		"decided":               {[]keeper.RunChange{lead(2, "")}, 0, 100 * time.Millisecond},
+		"record from before it": {[]keeper.RunChange{lead(1, "")}, 400 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := synced(lead(1, ""))
+			e.runs(append([]keeper.RunChange{{Claim: true}}, c.after...)...)
+			after := e.claims(3 * time.Second)
+			assert.Assert(t, after > c.from && after <= c.to, "%v", after)
+		})
+	}
+}
+
 func TestUnreadableLogCausesNoClaim(t *testing.T) {
 	e := synced(lead(5, "other"))
 	for range 100 {
