Keep the actions that wait for the log in a persistent queue

Change: package container has a queue whose change costs the same however long it is; the leader keeps the waiting actions in one.

Result: with 10,000 waiting starts a job costs less than twice what it costs with 100; TestJobsCostNoMoreWhileTheLogIsSlow fails before.

--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -19,7 +18,6 @@
 	effects     []Effect
 	changed     container.Table[bool] // jobs whose progress must be recorded
 	changeOrder []ledger.ID           // the keys of changed, in order of change
-	ownsWaiters bool                  // commitWaiters is a copy that this transition may append to
 }
 
 // Apply returns the state after event e at time now and the effects to carry out.
@@ -112,7 +110,8 @@
 // recordChanges emits a record for each changed job and removes the jobs that have
 // ended and have no runs left.
 func (t *transition) recordChanges() {
-	awaited := len(t.commitWaiters) > 0 && t.commitWaiters[len(t.commitWaiters)-1].batch == t.nextBatch()
+	last, waits := t.commitWaiters.Last()
+	awaited := waits && last.batch == t.nextBatch()
 	if len(t.changeOrder) == 0 && !awaited {
 		return
 	}
@@ -212,16 +211,16 @@
 // awaitCommit defers an action until a batch is in the log: the start of the
 // placement with the given key or, if key is empty, the acknowledgement of ends.
 func (t *transition) awaitCommit(batch int64, worker, key string) {
-	if !t.ownsWaiters {
-		t.commitWaiters, t.ownsWaiters = slices.Clone(t.commitWaiters), true
-	}
-	t.commitWaiters = append(t.commitWaiters, commitWaiter{batch, worker, key})
+	t.commitWaiters = t.commitWaiters.With(commitWaiter{batch, worker, key})
 }
 
 func (e Committed) apply(t *transition) {
-	for len(t.commitWaiters) > 0 && t.commitWaiters[0].batch <= e.Batch {
-		d := t.commitWaiters[0]
-		t.commitWaiters = t.commitWaiters[1:]
+	for {
+		d, waits := t.commitWaiters.First()
+		if !waits || d.batch > e.Batch {
+			return
+		}
+		t.commitWaiters = t.commitWaiters.WithoutFirst()
 		w, ok := t.fleet.get(d.worker)
 		if !ok {
 			continue
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -50,13 +50,13 @@
 	retryAt        container.Table[time.Time] // when to visit a waiting step again that found no room
 	prefetchDue    container.Table[time.Time] // when to estimate again when a step in prefetch becomes ready
 	workers        container.Table[Worker]
-	pool           pool                         // slots of the workers as of the last placement pass
-	staleSlots     container.Table[bool]        // workers that have changed since
-	commitWaiters  []commitWaiter               // actions that wait for a batch, in order of batches
-	adviceCalls    container.Table[adviceCall]  // advice calls in progress, by number
-	permits        container.Table[permits]     // advice received, by step
-	callers        container.Table[callerState] // entries that can call for advice, by name
-	permitRatios   container.Table[float64]     // fraction of queried workers that advice permits, by queue
+	pool           pool                          // slots of the workers as of the last placement pass
+	staleSlots     container.Table[bool]         // workers that have changed since
+	commitWaiters  container.Queue[commitWaiter] // actions that wait for a batch, in order of batches
+	adviceCalls    container.Table[adviceCall]   // advice calls in progress, by number
+	permits        container.Table[permits]      // advice received, by step
+	callers        container.Table[callerState]  // entries that can call for advice, by name
+	permitRatios   container.Table[float64]      // fraction of queried workers that advice permits, by queue
 	lastAdviceCall int64
 	runTimes       container.Table[runTimeSum] // run times of completed tasks, by step
 	meanRatio      float64                     // moving average of run time relative to the mean of the step
--- a/internal/leader/load_test.go
+++ b/internal/leader/load_test.go
@@ -1,10 +1,15 @@
 package leader_test
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
 )
 
 // Load pattern: a burst of quotes on a cell that recalculations nearly fill. Two seconds
@@ -19,3 +24,41 @@
 	assert.Assert(t, quotes.jobs > 30, "%+v", quotes)
 	assert.Assert(t, float64(quotes.inAim) >= 0.8*float64(quotes.jobs), "%+v", quotes)
 }
+
+// Load pattern: the log is slow, so that the starts of thousands of recorded runs wait
+// for it while jobs keep coming. What a job costs must not rise with how many wait: with
+// a hundred times as many, it may use twice the memory.
+func TestJobsCostNoMoreWhileTheLogIsSlow(t *testing.T) {
+	few, many := bytesPerJob(t, 1), bytesPerJob(t, 100)
+	assert.Assert(t, many <= 2*few, "%d bytes a job while 10,000 starts wait, %d while 100 do", many, few)
+}
+
+// bytesPerJob returns how many bytes a leader allocates for a job of one task while the
+// starts of a number of jobs with 100 tasks each wait for the log.
+func bytesPerJob(t *testing.T, waiting int) uint64 {
+	t.Helper()
+	const jobs = 100
+	now := time.Unix(1_700_000_000, 0)
+	room := ledger.Resources{CPU: 1 << 40, Memory: 1 << 40}
+	s := leader.New(leader.Policy{Lease: time.Second}, now)
+	apply := func(e leader.Event) { s, _ = s.Apply(e, now) }
+	for _, id := range []string{"w1", "w2"} {
+		apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: room, Incarnation: 1}})
+		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: now, Deadline: 1000})
+	}
+	accept := func(id string, tasks int) {
+		step := ledger.Step{Count: tasks, Request: ledger.Resources{CPU: 1}, Estimate: time.Second}
+		apply(leader.Accepted{Job: ledger.Job{ID: ledger.ID(id), Accepted: now, Queue: ledger.Queue{Service: "s"}, Steps: []ledger.Step{step}}})
+	}
+	for i := range waiting {
+		accept("waiting"+strconv.Itoa(i), 100)
+	}
+	assert.Equal(t, s.Counts(now).WaitingSteps, 0)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range jobs {
+		accept(strconv.Itoa(i), 1)
+	}
+	runtime.ReadMemStats(&after)
+	return (after.TotalAlloc - before.TotalAlloc) / jobs
+}
