Hold back less urgent starts while the leader is behind

Cause: on the large site a burst left the cell in a state from which it did not return. The leader placed what there was room for, more than it could follow up; each stage of a task then waited some 0.5 s for the control thread, and all quotes were late although the processor would have sufficed for them.

Change: a tick says when it was submitted. While ticks wait for more than 50 ms for the control thread, starts of lower priorities and of steps that are late already are paced: half as many after each such tick, a little more after each other one, and no bound once the leader follows again. Quotes that can still be in time are never held back.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -333,5 +333,5 @@
 }
 
 func (e *Entry) tick() {
-	e.controller.Submit(keeper.Ticked{Jitter: time.Duration(rand.Int64N(int64(maxClaimJitter)))})
+	e.controller.Submit(keeper.Ticked{Sent: time.Now(), Jitter: time.Duration(rand.Int64N(int64(maxClaimJitter)))})
 }
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -242,7 +242,7 @@
 			return
 		}
 		t.expireJobs()
-		t.applyToLeader(leader.Ticked{})
+		t.applyToLeader(leader.Ticked{Sent: e.Sent})
 	case Following:
 		t.updateReplica(e.Jitter)
 		t.claimIfSilent(e.Jitter)
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -105,5 +105,6 @@
 
 // Ticked reports that time has passed.
 type Ticked struct {
+	Sent   time.Time     // when it was submitted, zero if that is not known
 	Jitter time.Duration // random delay for the next claim
 }
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -167,7 +167,10 @@
 // prefetchAdvice requests advice on steps that are expected to become ready by the
 // time of the answer.
 func (p *placementPass) prefetchAdvice() {
-	for key := range p.prefetch.From(minScore) {
+	for key, score := range p.prefetch.From(minScore) {
+		if deferrable(score) && p.pace.exhausted() {
+			break
+		}
 		if due, ok := p.prefetchDue.Get(key); ok && p.now.Before(due) {
 			continue
 		}
--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -39,6 +39,9 @@
 	callers int
 	lasting float64 // fraction of the capacity that lasting tasks use
 	queues  []queueLoad
+	// eventTime is the time that the control thread takes for an event. Events that
+	// arrive meanwhile wait.
+	eventTime time.Duration
 }
 
 // cellResult is what became of the jobs of a queue.
@@ -55,7 +58,8 @@
 	start   time.Time
 	now     time.Time
 	events  timedEvents
-	order   int // of events at the same time
+	order   int       // of events at the same time
+	free    time.Time // when the control thread has applied all events so far
 	names   []string
 	running map[string][]dayTask
 	ends    map[string]int64
@@ -173,7 +177,7 @@
 }
 
 func (c *simulatedCell) tick() {
-	c.apply(leader.Ticked{})
+	c.apply(leader.Ticked{Sent: c.now})
 	c.at(100*time.Millisecond, c.tick)
 	c.peak = max(c.peak, c.state.Counts(c.now).WaitingSteps)
 }
@@ -214,7 +218,20 @@
 	c.apply(leader.Accepted{Job: job})
 }
 
+// apply applies an event once the control thread is free.
 func (c *simulatedCell) apply(e leader.Event) {
+	if c.eventTime == 0 {
+		c.applyNow(e)
+		return
+	}
+	if c.free.Before(c.now) {
+		c.free = c.now
+	}
+	c.free = c.free.Add(c.eventTime)
+	c.at(c.free.Sub(c.now), func() { c.applyNow(e) })
+}
+
+func (c *simulatedCell) applyNow(e leader.Event) {
 	began := time.Now()
 	next, effects := c.state.Apply(e, c.now)
 	c.control += time.Since(began)
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -127,7 +127,9 @@
 type CallersChanged struct{ Callers []string }
 
 // Ticked reports that time has passed. It is applied periodically.
-type Ticked struct{}
+type Ticked struct {
+	Sent time.Time // when it was submitted, zero if that is not known
+}
 
 // Woken reports that the time of a Wake has passed.
 type Woken struct{}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -62,6 +62,7 @@
 	meanRatio      float64                     // moving average of run time relative to the mean of the step
 	placementDue   bool                        // capacity or steps may have become available since the last pass
 	lastPass       time.Time                   // time of the last placement pass
+	pace           pace                        // bounds the starts while events wait for the control thread
 	wakePending    bool                        // a Wake has been emitted and not answered
 }
 
--- a/internal/leader/load_test.go
+++ b/internal/leader/load_test.go
@@ -25,6 +25,21 @@
 	assert.Assert(t, float64(quotes.inAim) >= 0.8*float64(quotes.jobs), "%+v", quotes)
 }
 
+// Load pattern: the leader's processor is scarcer than the room at the workers, and a
+// burst of recalculations takes more of it than there is. What can wait waits; quotes,
+// for which the processor suffices, are in time.
+func TestQuotesAreInTimeWhileTheProcessorIsScarce(t *testing.T) {
+	load := mixedLoad(184, 0.4)
+	load.queues[0].stretch, load.lasting, load.eventTime = 2.5, 0, 1200*time.Microsecond
+	load.queues[1].burst = burst{from: 5 * time.Second, until: 9 * time.Second, factor: 20}
+	c := newSimulatedCell(3, load)
+	c.countFrom, c.countUntil = 6*time.Second, 16*time.Second
+	c.run(20 * time.Second)
+	quotes := c.results["quote"]
+	assert.Assert(t, quotes.jobs > 30, "%+v", quotes)
+	assert.Assert(t, float64(quotes.inAim) >= 0.8*float64(quotes.jobs), "%+v", quotes)
+}
+
 // Load pattern: the log is slow, so that the starts of thousands of recorded runs wait
 // for it while jobs keep coming. What a job costs must not rise with how many wait: with
 // a hundred times as many, it may use twice the memory.
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -24,6 +24,7 @@
 	fullSteps      int                   // steps with tickets and without room
 	failedSearches int                   // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
+	deferrable     bool                  // the step that is placed can wait while the leader is behind
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
@@ -38,7 +39,10 @@
 	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
-	for key := range t.waiting.From(minScore) {
+	for key, score := range t.waiting.From(minScore) {
+		if p.deferrable = deferrable(score); p.deferrable && p.pace.exhausted() {
+			break
+		}
 		if at, ok := t.retryAt.Get(key); ok && t.now.Before(at) {
 			continue
 		}
@@ -125,6 +129,9 @@
 		if task.Phase != ledger.Idle {
 			continue
 		}
+		if p.deferrable && p.pace.exhausted() {
+			return
+		}
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
@@ -269,6 +276,9 @@
 		progress = progress.WithState(ledger.Running)
 	}
 	p.setJob(job.WithProgress(progress))
+	if p.deferrable {
+		p.pace = p.pace.withStart()
+	}
 	placed := Placement{
 		Task: id, Run: run, Stage: Recording, Size: spec.Reservation(), Checkpoint: task.Checkpoint, Ticket: held[c.ID].value, TicketExpiry: held[c.ID].expiry,
 		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, SpeedPercent: fullSpeed, Preemptible: isPreemptible(job.Job, id.Step),
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -37,8 +37,11 @@
 	restoreBelow  = 0.5
 )
 
-func (Ticked) apply(t *transition) {
+func (e Ticked) apply(t *transition) {
 	t.placementDue = true
+	if !e.Sent.IsZero() {
+		t.adjustPace(t.now.Sub(e.Sent))
+	}
 	for id, at := range t.dueRounds.From(minScore) {
 		if at > t.now.UnixMilli() {
 			break
