Keep room for urgent tasks

Cause: with a backlog of recalculations the large cell is full.

Change: a pass keeps room for a quarter as many urgent tasks as run, of their mean size; tasks of lower priorities leave it, services do not.

Tried and reverted: the same by free capacity instead of by tasks that fit, which changed nothing, since what is free in a full cell are remainders too small for a task.

--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -74,7 +74,7 @@
 					Task: ledger.TaskID{Job: job.Job.ID, Round: round, Step: step, Index: index}, Run: task.Run,
 					Stage: Inherited, Size: job.Job.Steps[step].Reservation(), Checkpoint: task.Checkpoint, SentAt: t.now,
 					BestEffort: job.Job.Steps[step].BestEffort, LatencyTarget: job.Job.Steps[step].LatencyTarget, SpeedPercent: fullSpeed,
-					Preemptible: isPreemptible(job.Job, step),
+					Preemptible: isPreemptible(job.Job, step), Urgent: isUrgent(job.Job, step),
 				})
 			}
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -136,6 +136,7 @@
 	LatencyTarget time.Duration // bound on its response times, 0 for none
 	FromStart     bool          // this leader started the task without a checkpoint
 	Preemptible   bool          // may be stopped for a task of the highest priority
+	Urgent        bool          // of the highest priority, and not meant to last
 }
 
 // key identifies the run at its worker.
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -25,6 +25,7 @@
 	failedSearches int                   // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
+	headroom       headroom
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
@@ -39,6 +40,7 @@
 	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
+	p.headroom = newHeadroom(p.slots, p.now)
 	for key, score := range t.waiting.From(minScore) {
 		if p.deferrable = deferrable(score); p.deferrable && p.pace.exhausted() {
 			break
@@ -213,6 +215,9 @@
 // A non-empty rack restricts the choice to that rack.
 func (p *placementPass) pick(r stepRef, task ledger.Task, eligible []int, counts map[string]int, rack string) int {
 	spec := r.spec()
+	if mayWaitForRoom(r.job.Job, r.step) && p.headroom.needed() {
+		return -1
+	}
 	d := placer.Demand{
 		Size: spec.Reservation(), Rack: spec.Rack, Urgent: r.job.Job.Queue.Priority == 0,
 		BestEffort: spec.BestEffort, Serving: spec.LatencyTarget > 0,
@@ -282,6 +287,7 @@
 	placed := Placement{
 		Task: id, Run: run, Stage: Recording, Size: spec.Reservation(), Checkpoint: task.Checkpoint, Ticket: held[c.ID].value, TicketExpiry: held[c.ID].expiry,
 		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, SpeedPercent: fullSpeed, Preemptible: isPreemptible(job.Job, id.Step),
+		Urgent:    isUrgent(job.Job, id.Step),
 		FromStart: task.Checkpoint == "",
 	}
 	p.putPlacement(w, placed)
@@ -289,6 +295,7 @@
 	if len(p.rerank) == 0 || p.rerank[len(p.rerank)-1] != id.Job {
 		p.rerank = append(p.rerank, id.Job)
 	}
+	p.headroom.take(c.Free, spec.Reservation())
 	c.Free = c.Free.Minus(spec.Reservation())
 	c.freeAfterStops = c.freeAfterStops.Minus(spec.Reservation())
 	c.Serving = c.Serving || spec.LatencyTarget > 0
--- a/internal/leader/pool.go
+++ b/internal/leader/pool.go
@@ -18,6 +18,8 @@
 	excludedUntil  time.Time
 	freeAfterStops ledger.Resources // free capacity after pending stops, less what the pass has claimed
 	preemptible    ledger.Resources // capacity that preemption may free in addition
+	urgent         ledger.Resources // capacity that short urgent tasks use
+	urgentRuns     int              // short urgent tasks
 }
 
 // usable reports whether the worker may be given new tasks at time now.
@@ -33,6 +35,7 @@
 		},
 		service: w.Service, labels: w.Labels, open: w.Listed && !w.Draining && w.Reachability == Reachable, excludedUntil: w.ExcludedUntil,
 		freeAfterStops: free.Plus(w.UsedByStopping), preemptible: w.UsedByPreemptible,
+		urgent: w.UsedByUrgent, urgentRuns: w.UrgentRuns,
 	}
 }
 
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -48,6 +48,8 @@
 	Used                ledger.Resources
 	UsedByStopping      ledger.Resources // part of Used that pending stops will free
 	UsedByPreemptible   ledger.Resources // part of Used that preemption can free
+	UsedByUrgent        ledger.Resources // part of Used that short urgent tasks use
+	UrgentRuns          int              // short urgent tasks
 	ServingRuns         int              // runs with a latency target
 	StoppingRuns        int
 	BestEffortRuns      int
@@ -131,6 +133,10 @@
 	if p.BestEffort {
 		w.BestEffortRuns += n
 	}
+	if p.Urgent {
+		w.UrgentRuns += n
+		w.UsedByUrgent = w.UsedByUrgent.Plus(p.Size.Times(n))
+	}
 	return w
 }
 
