Space the appends of entries, and drop ended jobs after an outage

The log takes the appends to a stream one at a time. As soon as the leader's answer was late, all entries appended for themselves, with one append and one probe each, and the leader tried to drop hundreds of ended jobs besides; the queue at the log never became shorter.

Change: an entry that does not lead keeps a least time between two of its own appends, probes included, which rises with the number of entries. Values that come meanwhile share the next one. Ended jobs are dropped once the log takes values again.

Result: TestJournalsSpaceTheirAppends (30 values that came in 0.3 s took an append each before).

--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/replicator"
+	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
@@ -70,6 +71,10 @@
 	// Fallback returns the fallback stream, which accepts values while the journal's
 	// own stream refuses them, and whether there is one. It may be nil.
 	Fallback func() (Fallback, bool)
+	// Spacing returns the least time between two appends, probes included. The log takes
+	// the appends to a stream one at a time: entries that each append for themselves
+	// would keep a slow log from recovering. It may be nil, for no spacing.
+	Spacing func() time.Duration
 
 	mu           sync.Mutex
 	sentAt       time.Time // when the append in flight was sent, or zero
@@ -144,22 +149,34 @@
 func (j *Journal) Serve(ctx context.Context) error {
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
+	var last time.Time // when the last append was sent
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-j.queue:
+			timer.Sleep(ctx, j.spacingLeft(last))
 			if batch := j.collect(first); len(batch) > 0 {
+				last = time.Now()
 				j.append(ctx, batch)
 			}
 		case <-probe.C:
-			if j.Outage() > 0 {
+			if j.Outage() > 0 && j.spacingLeft(last) <= 0 {
+				last = time.Now()
 				j.probe(ctx)
 			}
 		}
 	}
 }
 
+// spacingLeft returns how long the next append has to wait after the last one.
+func (j *Journal) spacingLeft(last time.Time) time.Duration {
+	if j.Spacing == nil {
+		return 0
+	}
+	return time.Until(last.Add(j.Spacing()))
+}
+
 // probe finds out whether the log answers again.
 func (j *Journal) probe(ctx context.Context) {
 	_, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Writer: probeWriter, Epoch: probeEpoch, Timeout: probeTimeout})
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -252,6 +252,35 @@
 	}
 }
 
+// Load pattern: the link to the leader is lost, or the leader says that the log is busy,
+// and every entry appends for itself. Appends and probes keep their spacing, and the
+// values that come meanwhile share an append.
+func TestJournalsSpaceTheirAppends(t *testing.T) {
+	const spacing = 100 * time.Millisecond
+	l := &log{}
+	j := recorder.NewJournal(l, "jobs")
+	j.Spacing = func() time.Duration { return spacing }
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return j.Serve(ctx) })
+	began := time.Now()
+	var values errgroup.Group
+	for range 30 {
+		values.Go(func() error { return j.Add(ctx, replicator.Value{Name: "v"}) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, values.Wait())
+	most := 1 + int(time.Since(began)/spacing)
+	cancel()
+	_ = group.Wait()
+	sent := 0
+	for _, a := range l.all() {
+		sent += len(a.Values)
+	}
+	assert.Equal(t, sent, 30)
+	assert.Assert(t, len(l.all()) <= most, "%d appends, at most %d", len(l.all()), most)
+}
+
 func TestJournalBatchesQueuedValues(t *testing.T) {
 	l := &log{gate: make(chan struct{})}
 	j := serveJournal(t, l)
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,14 @@
 	fenceAttempts = 4
 	// discardTimeout bounds the calls that drop an ended job.
 	discardTimeout = 3 * time.Second
+	// discardPause is the shortest pause, and half of the longest, before an ended job is
+	// dropped from a log that does not take values; discardWaits bounds the pauses. What
+	// clients wait for goes first.
+	discardPause = time.Second
+	discardWaits = 20
+	// spacingPerEntry is multiplied by the number of entries for the spacing of each
+	// one's own appends. Together they append at most 100 times a second.
+	spacingPerEntry = 10 * time.Millisecond
 	// resignTimeout bounds the calls that announce a resignation.
 	resignTimeout = time.Second
 )
@@ -269,10 +278,22 @@
 		a.Rack == b.Rack && a.Zone == b.Zone && a.Draining == b.Draining && len(a.Labels) == len(b.Labels)
 }
 
-// discardJob drops an ended job from the streams. If that fails, the next leader
-// does it.
+// appendSpacing returns the least time between two of this entry's own appends to the
+// stream of jobs. The leader appends for all entries and needs none.
+func (e *Entry) appendSpacing() time.Duration {
+	if e.controller.Snapshot().Role() == keeper.Leading {
+		return 0
+	}
+	return time.Duration(e.linker.Known()) * spacingPerEntry
+}
+
+// discardJob drops an ended job from the streams, while the log takes values. If that
+// fails, the next leader does it.
 func (e *Entry) discardJob(d keeper.Discard) {
 	e.group.Go(func() error {
+		for wait := 0; e.journal.Outage() > 0 && wait < discardWaits && e.ctx.Err() == nil; wait++ {
+			timer.Sleep(e.ctx, discardPause+time.Duration(rand.Int64N(int64(discardPause))))
+		}
 		ctx, cancel := context.WithTimeout(e.ctx, discardTimeout)
 		defer cancel()
 		err := e.journal.Add(ctx, replicator.Value{Name: string(d.Job)})
--- a/internal/linker/find.go
+++ b/internal/linker/find.go
@@ -47,3 +47,10 @@
 	err = rpc.Call(ctx, methodLead, struct{}{}, &lead)
 	return lead, errors.Wrap(err, "ask who leads")
 }
+
+// Known returns the number of entries whose addresses this one knows.
+func (l *Linker) Known() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.addresses)
+}
