--- a/internal/encoder/progress.go
+++ b/internal/encoder/progress.go
@@ -10,7 +10,8 @@
 
 // Progress encodes the progress of a job as a value of the stream of runs. It writes
 // the JSON of ledger.Progress without reflection, since a leader writes the progress of
-// a job with each change of its tasks.
+// a job with each change of its tasks. For the same reason it leaves out where a task
+// was done, which nothing depends on.
 func Progress(id ledger.ID, p ledger.Progress) replicator.Value {
 	const taskBytes = 40 // a task in progress is about that long
 	tasks := 0
@@ -73,11 +74,11 @@
 			b = strconv.AppendInt(b, int64(n.value), 10)
 		}
 	}
-	if t.Worker != "" {
+	if t.Worker != "" && t.Phase != ledger.Done {
 		name(`"w":`)
 		b = quoter.Append(b, t.Worker)
 	}
-	if t.Checkpoint != "" {
+	if t.Checkpoint != "" && t.Phase != ledger.Done {
 		name(`"s":`)
 		b = quoter.Append(b, t.Checkpoint)
 	}
