Refuse jobs whose progress does not fit into a record

Cause: found by asking what one odd message can do. A job of 100,000 tasks was valid; the progress of more than some 7,000 started tasks is larger than the 256 KB that the platform takes for a record. The leader would have tried to append it for ever, and so would each that took over: the whole cell stands still.

Change: at most 3,500 tasks an occurrence, refused where jobs enter and set aside where records are read.

Result: TestTheProgressOfTheLargestJobFitsIntoARecord fails before (7.1 MB).

--- a/internal/encoder/progress_test.go
+++ b/internal/encoder/progress_test.go
@@ -75,6 +75,22 @@
 	})
 }
 
+// maxRecordBytes is the largest record that the platform takes.
+const maxRecordBytes = 256 << 10
+
+// A leader that could not write the progress of a job would stop there, and so would
+// each that takes over. The largest job must fit into a record while its tasks run again
+// from checkpoints.
+func TestTheProgressOfTheLargestJobFitsIntoARecord(t *testing.T) {
+	tasks := make([]ledger.Task, ledger.MaxTasks)
+	for i := range tasks {
+		tasks[i] = ledger.Task{Phase: ledger.Started, Run: 12, Failures: 2, Worker: "i-5f519ce5f95f519ce5", Checkpoint: "0123456789abcdef"}
+	}
+	p := ledger.Progress{State: ledger.Running, Rounds: []ledger.Round{{Tasks: [][]ledger.Task{tasks}}}}
+	v := encoder.Progress("0123456789abcdef", p)
+	assert.Assert(t, len(v.Name)+len(v.Data) < maxRecordBytes, "%d bytes", len(v.Data))
+}
+
 func BenchmarkProgress(b *testing.B) {
 	tasks := make([]ledger.Task, 41)
 	for i := range tasks {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -156,8 +156,9 @@
 }
 
 const (
-	// MaxTasks bounds the tasks of one occurrence of a job.
-	MaxTasks = 100_000
+	// MaxTasks bounds the tasks of one occurrence of a job. The progress of all of them
+	// is one record, and the platform takes records of up to 256 KB.
+	MaxTasks = 3500
 	// MaxSteps bounds the steps of a job. Each change of a task looks at all of them.
 	MaxSteps = 1000
 	// MaxRounds bounds the occurrences of a job.
--- a/internal/ledger/validate_test.go
+++ b/internal/ledger/validate_test.go
@@ -15,7 +15,7 @@
 		"at least one":              {},
 		"1001, at most 1000":        {Steps: make([]ledger.Step, ledger.MaxSteps+1)},
 		"has to be 1 or more":       {Steps: []ledger.Step{{}}},
-		"200000 tasks":              {Steps: []ledger.Step{{Count: ledger.MaxTasks}, {Count: ledger.MaxTasks}}},
+		"7000 tasks":                {Steps: []ledger.Step{{Count: ledger.MaxTasks}, {Count: ledger.MaxTasks}}},
 		"9223372036854775807 tasks": {Steps: []ledger.Step{{Count: 1}, {Count: math.MaxInt}}},
 		"must not be negative":      {Steps: []ledger.Step{{Count: 1, Estimate: -1}}},
 		"not an earlier one":        {Steps: []ledger.Step{{Count: 1, After: []int{0}}}},
