Print in which stages the time of a queue's jobs goes

Change: endivelock stages reads logs as explain does and prints, by queue, the wait for an entry to ask, advice, the wait for room, the tasks, the spread of a step's tasks, the gap between steps and the whole, as a table or as JSON.

--- a/cmd/endivelock/main.go
+++ b/cmd/endivelock/main.go
@@ -33,6 +33,7 @@
 	List       *listCommand       `arg:"subcommand:list" help:"list work, servers, workers, entries, marks or the entry's status"`
 	Report     *reportCommand     `arg:"subcommand:report" help:"report how fast the error budget burns"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"print the history of a job from the logs of entries"`
+	Stages     *stagesCommand     `arg:"subcommand:stages" help:"print in which stages the time of each queue's jobs went, from the logs of entries"`
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a small system in this process and count violations of its guarantees"`
 	About      *versionCommand    `arg:"subcommand:version" help:"print the version"`
 }
