Test that an idle deputy is not silent at its first worker

Change: a test whose deputy idles for longer than it may be silent, gets its first worker, and whose first report takes longer than the time between two checks.

--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -152,6 +152,7 @@
 	workers   map[string]*workers // by deputy
 	cut       map[string]bool
 	grants    bool
+	slow      time.Duration // how long a deputy's events take to the leader
 	ctx       context.Context
 }
 
@@ -174,11 +175,12 @@
 
 func (l link) ReportEvents(_ context.Context, e delegator.Events) (bool, error) {
 	l.cell.mu.Lock()
-	cut := l.cell.cut[l.entry]
+	cut, slow := l.cell.cut[l.entry], l.cell.slow
 	l.cell.mu.Unlock()
 	if cut {
 		return false, errCut
 	}
+	time.Sleep(slow)
 	return l.cell.delegator.Report(l.entry, e)
 }
 
@@ -250,6 +252,23 @@
 	}
 }
 
+// A deputy without workers has no reason to report. It must not count as silent at its
+// first worker because it has not reported for so long: its orders would count as lost.
+func TestIdleDeputiesAreNotSilent(t *testing.T) {
+	c := newCell(t, 1, "a")
+	c.slow = 700 * time.Millisecond // more than the time between two checks
+	c.delegator.Watch(watch("own"))
+	time.Sleep(delegator.MaxGrant + 100*time.Millisecond)
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "report through the deputy", reported("w"))
+	c.sink.mu.Lock()
+	defer c.sink.mu.Unlock()
+	for _, e := range c.sink.events {
+		_, lost := e.(leader.PollerLost)
+		assert.Assert(t, !lost, "deputy lost")
+	}
+}
+
 // Load pattern: thousands of starts a second at hundreds of workers, each with a call
 // over HTTP. The leader keeps few workers to itself; deputies call the others and pass
 // on what they learn.
