Revert the collector's targets while leading

Cause: found when reading the whole change. The command sets the collector's targets already, to five times the live heap and 60 % of the instance's memory; put 300 % and 200 MB in their place, whatever memory the instance has, and 100 % after leading. On a small instance that could end the process.

--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -132,7 +132,6 @@
 // startLeading starts the services of a leader.
 func (e *Entry) startLeading(epoch int64) {
 	e.unfollow(keeper.Runs)
-	setCollector(true)
 	ctx, cancel := context.WithCancel(e.ctx)
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
@@ -213,7 +212,6 @@
 	e.mu.Lock()
 	e.active = nil
 	e.mu.Unlock()
-	setCollector(false)
 	c.cancel()
 	e.group.Go(func() error {
 		_ = c.group.Wait()
