Keep room by service, and only what urgent tasks could use

The room for urgent tasks was counted over all workers, and while it was short no less urgent task was placed anywhere: not on workers of other services, nor where no urgent task fits. A deployment whose urgent tasks use up one kind of worker would have starved the others.

Change: room is counted by service, at most a tenth of its capacity is kept, and only a placement that takes some of it is held back.

--- a/internal/leader/headroom.go
+++ b/internal/leader/headroom.go
@@ -6,51 +6,73 @@
 	"github.com/endivelock/endivelock/internal/ledger"
 )
 
-// headroomShare is the room that is kept for urgent tasks, as a fraction of those that
-// run.
-const headroomShare = 0.25
+const (
+	// headroomShare is the room that is kept for urgent tasks, as a fraction of those
+	// that run.
+	headroomShare = 0.25
+	// maxHeadroomShare bounds that room as a fraction of a service's capacity: urgent
+	// tasks may need workers of their own kind, and room is kept at all.
+	maxHeadroomShare = 0.1
+)
 
-// headroom is the room at the workers for further urgent tasks. A cell full of less
-// urgent work has none; each urgent task then waits for a preemption, which takes longer
-// than its objective allows, and the stopped work has to be started again.
+// headroom is the room at a service's workers for further urgent tasks. A service full
+// of less urgent work has none; each urgent task then waits for a preemption, which
+// takes longer than its objective allows, and the stopped work has to be started again.
 type headroom struct {
-	size ledger.Resources // of an urgent task, the mean of those that run
-	kept int              // urgent tasks for which room is kept
-	room int              // urgent tasks for which there is room
+	size     ledger.Resources // of an urgent task, the mean of those that run
+	used     ledger.Resources // by the urgent tasks that run
+	runs     int              // urgent tasks that run
+	kept     int              // urgent tasks for which room is kept
+	room     int              // urgent tasks for which there is room
+	capacity int              // urgent tasks that would fit into empty workers
 }
 
-// newHeadroom returns the headroom at the workers that may take tasks.
-func newHeadroom(slots []slot, now time.Time) headroom {
-	var used ledger.Resources
-	runs := 0
+// newHeadrooms returns the headroom of each service at its workers that may take tasks.
+func newHeadrooms(slots []slot, now time.Time) map[string]*headroom {
+	rooms := map[string]*headroom{}
 	for i := range slots {
-		used, runs = used.Plus(slots[i].urgent), runs+slots[i].urgentRuns
+		s := &slots[i]
+		if s.urgentRuns == 0 {
+			continue
+		}
+		h := rooms[s.service]
+		if h == nil {
+			h = &headroom{}
+			rooms[s.service] = h
+		}
+		h.used, h.runs = h.used.Plus(s.urgent), h.runs+s.urgentRuns
 	}
-	h := headroom{kept: int(headroomShare * float64(runs))}
-	if h.kept == 0 {
-		return h
+	for _, h := range rooms {
+		n := int64(h.runs)
+		h.size = ledger.Resources{CPU: h.used.CPU / n, Memory: h.used.Memory / n, GPU: h.used.GPU / n}
 	}
-	h.size = ledger.Resources{CPU: used.CPU / int64(runs), Memory: used.Memory / int64(runs), GPU: used.GPU / int64(runs)}
 	for i := range slots {
-		if slots[i].usable(now) {
+		if h := rooms[slots[i].service]; h != nil && slots[i].usable(now) {
 			h.room += h.fits(slots[i].Free)
+			h.capacity += h.fits(slots[i].Capacity)
 		}
 	}
-	return h
+	for _, h := range rooms {
+		h.kept = int(min(headroomShare*float64(h.runs), maxHeadroomShare*float64(h.capacity)))
+	}
+	return rooms
 }
 
 // fits returns how many urgent tasks fit into free capacity.
-func (h headroom) fits(free ledger.Resources) int { return countFits(free, h.size, maxFits) }
+func (h *headroom) fits(free ledger.Resources) int { return countFits(free, h.size, maxFits) }
 
 // maxFits bounds the urgent tasks that count as room at one worker.
 const maxFits = 1 << 10
 
-// needed reports whether all room that is left is kept for urgent tasks.
-func (h headroom) needed() bool { return h.kept > 0 && h.room <= h.kept }
+// keeps reports whether a task must not be placed into free capacity, since it would
+// take room that is kept for urgent ones. What is too small for these is not.
+func (h *headroom) keeps(free, size ledger.Resources) bool {
+	return h != nil && h.room <= h.kept && h.fits(free.Minus(size)) < h.fits(free)
+}
 
 // take accounts for a task that is placed into free capacity.
 func (h *headroom) take(free, size ledger.Resources) {
-	if h.kept > 0 {
+	if h != nil {
 		h.room -= h.fits(free) - h.fits(free.Minus(size))
 	}
 }
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -25,7 +25,7 @@
 	failedSearches int                   // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
-	headroom       headroom
+	headrooms      map[string]*headroom  // by service; none where no urgent task runs
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
@@ -40,7 +40,7 @@
 	t.pool, t.staleSlots = t.pool.with(t.workers, t.staleSlots), container.Table[bool]{}
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
-	p.headroom = newHeadroom(p.slots, p.now)
+	p.headrooms = newHeadrooms(p.slots, p.now)
 	for key, score := range t.waiting.From(minScore) {
 		if p.deferrable = deferrable(score); p.deferrable && p.pace.exhausted() {
 			break
@@ -215,8 +215,9 @@
 // A non-empty rack restricts the choice to that rack.
 func (p *placementPass) pick(r stepRef, task ledger.Task, eligible []int, counts map[string]int, rack string) int {
 	spec := r.spec()
-	if mayWaitForRoom(r.job.Job, r.step) && p.headroom.needed() {
-		return -1
+	var kept *headroom
+	if mayWaitForRoom(r.job.Job, r.step) {
+		kept = p.headrooms[r.job.Job.Queue.Service]
 	}
 	d := placer.Demand{
 		Size: spec.Reservation(), Rack: spec.Rack, Urgent: r.job.Job.Queue.Priority == 0,
@@ -230,7 +231,7 @@
 			continue
 		}
 		if i := p.choose(d, eligible, func(c *placer.Candidate) bool {
-			return p.belowLimit(r, c.ID, counts) && (rack == "" || c.Rack == rack) &&
+			return !kept.keeps(c.Free, d.Size) && p.belowLimit(r, c.ID, counts) && (rack == "" || c.Rack == rack) &&
 				(!careful || c.ID != task.Worker && c.ConsecutiveFailures == 0)
 		}); i >= 0 {
 			return i
@@ -295,7 +296,7 @@
 	if len(p.rerank) == 0 || p.rerank[len(p.rerank)-1] != id.Job {
 		p.rerank = append(p.rerank, id.Job)
 	}
-	p.headroom.take(c.Free, spec.Reservation())
+	p.headrooms[c.service].take(c.Free, spec.Reservation())
 	c.Free = c.Free.Minus(spec.Reservation())
 	c.freeAfterStops = c.freeAfterStops.Minus(spec.Reservation())
 	c.Serving = c.Serving || spec.LatencyTarget > 0
