Say "may have run" where a relayed append went unanswered

An append that the log refused directly and that went unanswered through another entry was reported with the first error, as not executed; so was one whose relay went unanswered before the direct attempt was refused, and one whose first relay went unanswered and whose second was refused.

Change: an append of which any attempt went unanswered is unanswered. A value without a sequence number is not appended directly after an unanswered relay. A fallback that ends fenced or out of sequence is unanswered.

Result: three cases of TestAppendsThroughOtherEntries and TestUnansweredRelayedValuesMayBeInTheLog fail before.

--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -252,6 +252,10 @@
 		j.sequence = failed.Number
 		err = j.tryFallback(ctx, s, renamed)
 	}
+	if classifier.Is(err, classifier.Fenced) || classifier.Is(err, classifier.OutOfSequence) {
+		// Another attempt of the same append may have succeeded before.
+		return &classifier.Error{Kind: classifier.Unanswered, Call: "append", Cause: err}
+	}
 	return err
 }
 
--- a/internal/commands/relayer/relayer.go
+++ b/internal/commands/relayer/relayer.go
@@ -35,32 +35,47 @@
 	relayUntil time.Time // appends go through other entries until then
 }
 
-// Append adds values and returns their position in the stream. A direct append
-// without an answer is relayed only if its sequence number lets the log recognize
-// a repeat.
+// Append adds values and returns their position in the stream. An append without an
+// answer is repeated only if its sequence number lets the log recognize a repeat. If any
+// attempt went unanswered, so did the append: the values may be in the log.
 func (r *Relayer) Append(ctx context.Context, a replicator.Append) (replicator.Position, error) {
+	var unanswered error
 	if r.relaying(time.Now()) {
 		position, err := r.Relay.Append(ctx, a)
-		if err == nil || final(err) {
+		if err == nil || final(err) || unrepeatable(a, err) {
 			return position, err
 		}
 		r.stopRelaying(err)
+		if !classifier.NotExecuted(err) {
+			unanswered = err
+		}
 	}
 	position, err := r.Direct.Append(ctx, a)
-	if err == nil || final(err) || a.Writer == "" && !classifier.NotExecuted(err) {
+	if err == nil || final(err) || unrepeatable(a, err) {
 		return position, err
 	}
+	if !classifier.NotExecuted(err) {
+		unanswered = err
+	}
 	relayed, relayErr := r.Relay.Append(ctx, a)
 	switch {
 	case relayErr == nil:
 		r.startRelaying(err)
 		return relayed, nil
-	case final(relayErr):
+	case final(relayErr) || !classifier.NotExecuted(relayErr):
 		return relayed, relayErr
+	case unanswered != nil:
+		return position, unanswered
 	}
 	return position, err
 }
 
+// unrepeatable reports whether an append that failed may be in the log, and a repeat
+// would add its values again.
+func unrepeatable(a replicator.Append, err error) bool {
+	return a.Writer == "" && !classifier.NotExecuted(err)
+}
+
 // final reports whether an error is a decision of the log on the append, which
 // another attempt can't change.
 func final(err error) bool {
--- a/internal/commands/relayer/relayer_test.go
+++ b/internal/commands/relayer/relayer_test.go
@@ -42,6 +42,9 @@
 		"the writer is fenced":                      {leader, failure(classifier.Fenced), nil, 0, failure(classifier.Fenced)},
 		"a relayed append learns that it is fenced": {leader, failure(classifier.Busy), failure(classifier.Fenced), 1, failure(classifier.Fenced)},
 		"others can't reach the log either":         {leader, failure(classifier.Busy), failure(classifier.Unsent), 1, failure(classifier.Busy)},
+		"a relayed append is unanswered":            {leader, failure(classifier.Busy), failure(classifier.Unanswered), 1, failure(classifier.Unanswered)},
+		"a relayed value is unanswered":             {plain, failure(classifier.Busy), failure(classifier.Unanswered), 1, failure(classifier.Unanswered)},
+		"others are busy after an unanswered one":   {leader, failure(classifier.Unanswered), failure(classifier.Busy), 1, failure(classifier.Unanswered)},
 		"the log has moved on":                      {plain, failure(classifier.OffsetMismatch), nil, 0, failure(classifier.OffsetMismatch)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -59,6 +62,19 @@
 	}
 }
 
+// While appends are relayed, a value whose relayed append goes unanswered may be in the
+// log. A direct append that is refused afterwards must not say that it isn't.
+func TestUnansweredRelayedValuesMayBeInTheLog(t *testing.T) {
+	logger, _ := test.NewNullLogger()
+	own, others := &appender{fail: failure(classifier.Busy)}, &appender{}
+	r := relayer.Relayer{Direct: own, Relay: others, Logger: logger}
+	_, err := r.Append(context.Background(), replicator.Append{Stream: "jobs"})
+	assert.NilError(t, err)
+	others.fail = failure(classifier.Unanswered)
+	_, err = r.Append(context.Background(), replicator.Append{Stream: "jobs"})
+	assert.Equal(t, classifier.KindOf(err), classifier.Unanswered)
+}
+
 // While direct appends fail, appends are relayed without a direct attempt each
 // time.
 func TestRelayingSkipsTheDirectAttempt(t *testing.T) {
--- a/internal/linker/relay.go
+++ b/internal/linker/relay.go
@@ -37,7 +37,7 @@
 // Append adds values to a stream through linked entries.
 func (l *Linker) Append(ctx context.Context, a replicator.Append) (replicator.Position, error) {
 	a.Timeout = relayTimeout
-	var err error = &classifier.Error{Kind: classifier.Unsent, Call: methodAppend, Reason: "no entry is linked"}
+	var err, unanswered error = &classifier.Error{Kind: classifier.Unsent, Call: methodAppend, Reason: "no entry is linked"}, nil
 	for _, name := range l.relayCandidates() {
 		var position replicator.Position
 		position, err = l.appendVia(ctx, name, a)
@@ -46,9 +46,15 @@
 			return position, err
 		}
 		l.setLastRelay("")
-		if a.Writer == "" && !classifier.NotExecuted(err) {
-			return position, err // without a sequence number, a retry could add the values twice
+		if classifier.NotExecuted(err) {
+			continue
 		}
+		if unanswered = err; a.Writer == "" {
+			break // without a sequence number, a retry could add the values twice
+		}
+	}
+	if unanswered != nil {
+		return replicator.Position{}, unanswered // the values may be in the log
 	}
 	return replicator.Position{}, err
 }
