--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -298,6 +298,25 @@
 // Values that the stream of jobs refuses are still accepted: the leader writes
 // them to the fallback stream under its epoch, each call with a new sequence
 // number.
+// A leader is replaced while it writes to the fallback stream. That it is fenced off then
+// may be the answer to a repeat, after a first attempt that was carried out: its clients
+// must not hear that their jobs don't run.
+func TestValuesOfAFencedFallbackMayBeInTheLog(t *testing.T) {
+	l := &log{}
+	l.fail = func(n int) error {
+		if l.all()[n-1].Stream == "jobs" {
+			return &classifier.Error{Kind: classifier.Busy}
+		}
+		return &classifier.Error{Kind: classifier.Fenced}
+	}
+	j := serveJournal(t, l)
+	j.Fallback = func() (recorder.Fallback, bool) {
+		return recorder.Fallback{Stream: "runs", Epoch: 9, Name: func(name string) string { return "+" + name }}, true
+	}
+	err := j.Add(context.Background(), replicator.Value{Name: "a"})
+	assert.Assert(t, classifier.Is(err, classifier.Unanswered), "%v", err)
+}
+
 func TestRefusedValuesGoToTheFallbackStream(t *testing.T) {
 	l := &log{}
 	l.fail = func(n int) error {
