review: case 2, a lasting task is lost after its runner restarted under its id

A lease deadline on the clock of a runner's earlier life is kept for the next one, so that the leader waits for leases that ended long ago.

--- /dev/null
+++ b/review/standin/cell.go
@@ -0,0 +1,275 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// program and template are the program of the deploy file and the template of its settings.
+const (
+	program  = "target/endivelock"
+	template = "deploy/settings.tmpl"
+)
+
+// Ports of an entry. Each entry has an address of its own.
+const (
+	frontPort = 8161
+	readyPort = 8167
+	peersPort = 7720
+)
+
+// cell is a small deployment: a store, runners, and entries in three zones.
+type cell struct {
+	record  *record
+	store   *store
+	runners []*runner
+	fronts  []string // addresses for clients
+	client  *http.Client
+
+	net     string // first three parts of all addresses
+	folder  string
+	group   errgroup.Group
+	cancel  context.CancelFunc
+	ctx     context.Context
+	entries []*exec.Cmd
+	mu      sync.Mutex
+	host    int // last part of the last address
+}
+
+func newCell(r *record) (*cell, error) {
+	folder, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	c := &cell{record: r, store: newStore(), folder: folder, client: &http.Client{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.net = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
+	return c, nil
+}
+
+// address returns a loopback address that nothing else of the cell has.
+func (c *cell) address() string {
+	c.host++
+	return fmt.Sprintf("%s.%d", c.net, c.host)
+}
+
+// listen opens a free port of an address.
+func (c *cell) listen() (net.Listener, error) { return net.Listen("tcp", c.address()+":0") }
+
+// startStore serves the store and returns its address.
+func (c *cell) startStore() (string, error) {
+	l, err := c.listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: c.store.handler(), ReadHeaderTimeout: 3 * time.Second}
+	context.AfterFunc(c.ctx, func() { _ = server.Close() })
+	c.group.Go(func() error {
+		_ = server.Serve(l)
+		return nil
+	})
+	return l.Addr().String(), nil
+}
+
+// addRunner adds a runner that has been up for some time.
+func (c *cell) addRunner(index int, kind string, size room, uptime time.Duration) (*runner, error) {
+	l, err := c.listen()
+	if err != nil {
+		return nil, err
+	}
+	w := &runner{
+		id: fmt.Sprintf("i-%010x", rand.Int64N(1<<40)), address: l.Addr().String(), zone: zones()[index%len(zones())],
+		rack: fmt.Sprintf("r1-%d", index/6), room: size, store: c.store, record: c.record,
+	}
+	w.begin(kind, uptime)
+	c.group.Go(func() error { return w.serve(c.ctx, l) })
+	c.group.Go(func() error { return w.work(c.ctx) })
+	w.beat()
+	c.runners = append(c.runners, w)
+	return w, nil
+}
+
+func zones() []string { return []string{"zone-a", "zone-b", "zone-c"} }
+
+// queue is a route of the configuration.
+type queue struct {
+	name              string
+	priority, attempt int
+}
+
+func (q queue) prefix() string { return "/" + q.name + "/" }
+
+// clientHost is the host of all queues.
+const clientHost = "desk.example"
+
+// configure writes the configuration.
+func (c *cell) configure(queues ...queue) {
+	var routes []map[string]any
+	for _, q := range queues {
+		routes = append(routes, map[string]any{
+			"name": q.name, "host": clientHost, "prefix": q.prefix(), "kind": "mutating", "timeout_ms": 3000, "slo_ms": 1200,
+			"priority": q.priority, "service": service, "attempts": q.attempt, "stretch": 2.2,
+		})
+	}
+	c.store.put("keyed.op", "config", map[string]any{
+		"version": 7, "routes": routes,
+		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// startEntries starts entries and waits until all are ready.
+func (c *cell) startEntries(ctx context.Context, count int, platform string) error {
+	text, err := os.ReadFile(template)
+	if err != nil {
+		return err
+	}
+	for i := range count {
+		if err := c.startEntry(i, string(text), platform); err != nil {
+			return err
+		}
+	}
+	for _, front := range c.fronts {
+		ready := strings.TrimSuffix(front, fmt.Sprint(frontPort)) + fmt.Sprint(readyPort)
+		for !c.isReady(ready) {
+			if err := pause(ctx, 50*time.Millisecond); err != nil {
+				return errors.Join(errors.New("an entry is not ready"), err)
+			}
+		}
+	}
+	c.record.add("%d entries are ready", count)
+	return nil
+}
+
+// startEntry starts an entry with the settings of a small deployment.
+func (c *cell) startEntry(index int, text, platform string) error {
+	ip := c.address()
+	values := map[string]any{
+		"node": fmt.Sprintf("front-%d", index+1), "zone": zones()[index%len(zones())], "listen.front": fmt.Sprintf("%s:%d", ip, frontPort),
+		"listen.ready": fmt.Sprintf("%s:%d", ip, readyPort), "ip": ip, "port_range.0": peersPort, "platform.addr": platform, "advice": "",
+		"bounds.hold_max_ms": holdMax.Milliseconds(), "bounds.grace_s": 6, "bounds.status_s": 120, "limits.cpu_share": 0.4, "limits.memory_mb": 284,
+	}
+	settings := regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`).ReplaceAllStringFunc(text, func(place string) string {
+		name, encoded := strings.CutSuffix(strings.Trim(place, "{}"), "|json")
+		if !encoded {
+			return fmt.Sprint(values[name])
+		}
+		data, _ := json.Marshal(values[name])
+		return string(data)
+	})
+	path := filepath.Join(c.folder, fmt.Sprintf("node-%d.toml", index+1))
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(path + ".log")
+	if err != nil {
+		return err
+	}
+	command := exec.Command(program, "schedule", "--config", path)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	c.entries = append(c.entries, command)
+	c.fronts = append(c.fronts, fmt.Sprintf("%s:%d", ip, frontPort))
+	return nil
+}
+
+func (c *cell) isReady(address string) bool {
+	response, err := c.client.Get("http://" + address + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// stop ends all that the cell has started. The logs of the entries stay if KEEP is set.
+func (c *cell) stop() {
+	for _, e := range c.entries {
+		_ = e.Process.Kill()
+		_ = e.Wait()
+	}
+	c.cancel()
+	_ = c.group.Wait()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(c.folder)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// callTimeout is how long a client waits for an answer.
+const callTimeout = 3 * time.Second
+
+// call sends a request of a client to an entry. It returns the status, or 0 without an
+// answer, and the state in the body, if there is one.
+func (c *cell) call(entry int, method string, q queue, id string, body any) (int, string) {
+	var data io.Reader
+	if body != nil {
+		encoded, _ := json.Marshal(body)
+		data = bytes.NewReader(encoded)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.fronts[entry%len(c.fronts)]+q.prefix()+id, data)
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = clientHost
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	response, err := c.client.Do(r)
+	if err != nil {
+		c.record.add("client  %s %s%s: no answer", method, q.prefix(), id)
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		State string `json:"state"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	c.record.add("client  %s %s%s: %d %s", method, q.prefix(), id, response.StatusCode, answer.State)
+	return response.StatusCode, answer.State
+}
+
+// submit hands a job in, at other entries too if one doesn't accept it.
+func (c *cell) submit(ctx context.Context, q queue, job any) (string, error) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	for try := range 20 {
+		if status, _ := c.call(try, http.MethodPost, q, id, job); status == http.StatusOK {
+			return id, nil
+		}
+		if err := pause(ctx, time.Second); err != nil {
+			return id, err
+		}
+	}
+	return id, errors.New("no entry accepts the job")
+}
