--- a/review/standin/acks.go
+++ b/review/standin/acks.go
@@ -9,51 +9,66 @@
 )
 
 const (
-	// powerLosses is how often a runner loses power, and powerPause the time between.
-	powerLosses = 8
-	powerPause  = 4 * time.Second
+	// darkRunners is the number of runners that lose power together.
+	darkRunners = 2
+	// returnGap is the time between the returns of two of them.
+	returnGap = 50 * time.Millisecond
 	// quickWork is how long each task takes, and quickTasks how many a job has.
 	quickWork  = 100 * time.Millisecond
-	quickTasks = 40
-	quickPause = 150 * time.Millisecond
+	quickTasks = 192
+	// quietTime is how long nothing is sent before the power fails.
+	quietTime = idleTimeout + 2*time.Second
+	// powerLosses is how often runners lose power.
+	powerLosses = 4
 )
 
-// playAcks has a runner lose power for a moment and return under its id, again and again,
-// while short tasks run on all runners.
+func quickJob() job {
+	return job{Spec: fmt.Sprintf("0=%d", quickWork.Milliseconds()), Steps: []step{{Count: quickTasks, CPU: 5000, Memory: 6000, Estimate: 100}}}
+}
+
+// playAcks has runners lose power for a moment and return under their ids. Before that,
+// short tasks have run there, and others come once they are back.
 func playAcks(ctx context.Context, c *cell, trouble bool) (verdict, error) {
 	quote := queue{"quote", 0, 2}
-	if err := startCell(ctx, c, smallRunners, quote); err != nil {
+	if err := startCell(ctx, c, cellRunners, quote); err != nil {
 		return nil, err
 	}
-	traffic, stop := context.WithCancel(ctx)
-	defer stop()
-	var ids []string
-	c.group.Go(func() error {
-		for traffic.Err() == nil {
-			id, err := c.submit(traffic, quote, job{Spec: fmt.Sprintf("0=%d", quickWork.Milliseconds()), Steps: []step{{Count: quickTasks, CPU: 5000, Memory: 6000, Estimate: 100}}})
-			if err == nil {
-				ids = append(ids, id)
-			}
-			_ = pause(traffic, quickPause)
-		}
-		return nil
-	})
-	if err := pause(ctx, 4*time.Second); err != nil {
+	if err := pause(ctx, 2*time.Second); err != nil {
 		return nil, err
 	}
-	for i := range powerLosses {
+	for range powerLosses {
+		for range 10 {
+			if _, err := c.submit(ctx, quote, quickJob()); err != nil {
+				return nil, err
+			}
+			if err := pause(ctx, 200*time.Millisecond); err != nil {
+				return nil, err
+			}
+		}
+		if err := pause(ctx, quietTime); err != nil {
+			return nil, err
+		}
 		if trouble {
-			if err := losePower(ctx, c.runners[i%smallRunners]); err != nil {
+			dark, err := c.losePower(ctx, darkRunners)
+			if err != nil {
+				return nil, err
+			}
+			if err := pause(ctx, darkTime); err != nil {
 				return nil, err
 			}
+			for _, w := range dark {
+				w.comeBack()
+				if err := pause(ctx, returnGap); err != nil {
+					return nil, err
+				}
+			}
 		}
-		if err := pause(ctx, powerPause); err != nil {
+		if _, err := c.submit(ctx, quote, quickJob()); err != nil {
+			return nil, err
+		}
+		if err := pause(ctx, 3*time.Second); err != nil {
 			return nil, err
 		}
-	}
-	stop()
-	if err := pause(ctx, 4*time.Second); err != nil {
-		return nil, err
 	}
 	return c.doneTwice(), nil
 }
--- a/review/standin/kind.go
+++ b/review/standin/kind.go
@@ -19,10 +19,10 @@
 // another kind, while tasks wait that need the first kind.
 func playKind(ctx context.Context, c *cell, trouble bool) (verdict, error) {
 	recalc := queue{"recalc", 2, 3}
-	if err := startCell(ctx, c, smallRunners-1, recalc); err != nil {
+	if err := startCell(ctx, c, cellRunners-1, recalc); err != nil {
 		return nil, err
 	}
-	special, err := c.addRunner(smallRunners-1, "b", largeRoom(), longUptime)
+	special, err := c.addRunner(cellRunners-1, "b", largeRoom(), longUptime)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/oversized.go
+++ b/review/standin/oversized.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	largeCell = 48 // runners
 	// A job runs waveTimes times, waveInterval apart. Each time has waveTasks tasks that
 	// take waveWork: all times overlap.
 	waveTimes    = 10
@@ -22,7 +21,7 @@
 // playOversized hands in a job whose times overlap, and small jobs beside it.
 func playOversized(ctx context.Context, c *cell, trouble bool) (verdict, error) {
 	quote, recalc, watch := queue{"quote", 0, 2}, queue{"recalc", 2, 3}, queue{"watch", 1, 3}
-	if err := startCell(ctx, c, largeCell, quote, recalc, watch); err != nil {
+	if err := startCell(ctx, c, cellRunners, quote, recalc, watch); err != nil {
 		return nil, err
 	}
 	c.record.quiet = true
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// smallCell is the number of runners and entries of a small deployment.
-	smallRunners = 8
-	smallEntries = 3
+	// cellRunners and cellEntries are the size of a small deployment.
+	cellRunners = 48
+	cellEntries = 9
 	// longUptime is how long the runners have been up when the system starts.
 	longUptime = time.Hour
 	// darkTime is how long a runner that loses power is away.
@@ -29,7 +29,7 @@
 // leave for good while a task that lasts runs there.
 func playReborn(ctx context.Context, c *cell, trouble bool) (verdict, error) {
 	watch := queue{"watch", 1, 3}
-	if err := startCell(ctx, c, smallRunners, watch); err != nil {
+	if err := startCell(ctx, c, cellRunners, watch); err != nil {
 		return nil, err
 	}
 	victim := c.runners[0]
@@ -37,25 +37,31 @@
 		return nil, err
 	}
 	if trouble {
-		if err := losePower(ctx, victim); err != nil {
+		dark, err := c.losePower(ctx, 1)
+		if err != nil {
 			return nil, err
 		}
+		victim = dark[0]
+		if err := pause(ctx, darkTime); err != nil {
+			return nil, err
+		}
+		victim.comeBack()
 	}
 	if err := pause(ctx, 4*time.Second); err != nil {
 		return nil, err
 	}
 	id, err := c.submit(ctx, watch, job{Spec: "feed", Steps: []step{{
-		Count: smallRunners, CPU: 10000, Memory: 20000, Estimate: 500, MaxPerServer: 1, LongRunning: true,
+		Count: cellRunners, CPU: 10000, Memory: 20000, Estimate: 500, MaxPerServer: 1, LongRunning: true,
 	}}})
 	if err != nil {
 		return nil, err
 	}
-	for len(c.runningTasks(id)) < smallRunners {
+	for len(c.runningTasks(id)) < cellRunners {
 		if err := pause(ctx, poll); err != nil {
 			return nil, fmt.Errorf("not all tasks run: %w", err)
 		}
 	}
-	c.record.add("all %d tasks run", smallRunners)
+	c.record.add("all %d tasks run", cellRunners)
 	if err := pause(ctx, 5*time.Second); err != nil {
 		return nil, err
 	}
@@ -67,11 +73,11 @@
 	if err := pause(ctx, replacementDelay); err != nil {
 		return nil, err
 	}
-	if _, err := c.addRunner(smallRunners, "a", largeRoom(), 0); err != nil {
+	if _, err := c.addRunner(cellRunners, "a", largeRoom(), 0); err != nil {
 		return nil, err
 	}
 	for time.Since(lost) < lostAfter {
-		if len(c.runningTasks(id)) == smallRunners {
+		if len(c.runningTasks(id)) == cellRunners {
 			c.record.add("all tasks run again %.1f s after the loss", time.Since(lost).Seconds())
 			return nil, nil
 		}
@@ -80,46 +86,53 @@
 		}
 	}
 	return verdict{fmt.Sprintf("LOST: %d of %d lasting tasks run %.0f s after the loss of a runner, with a runner free for the other",
-		len(c.runningTasks(id)), smallRunners, lostAfter.Seconds())}, nil
+		len(c.runningTasks(id)), cellRunners, lostAfter.Seconds())}, nil
 }
 
-// losePower has a runner lose power shortly after a poll has arrived that waits there,
-// and start again under its id. It registers itself as it starts.
-func losePower(ctx context.Context, w *runner) error {
-	polled := make(chan struct{}, 1)
-	w.mu.Lock()
-	kind := w.kind
-	w.onHold = func(h holdBody) {
-		if h.Wait > 0 && h.Deadline > 0 {
-			select {
-			case polled <- struct{}{}:
-			default:
+// losePower takes the power from n runners at which a poll has waited for a short
+// while, and returns them.
+func (c *cell) losePower(ctx context.Context, n int) ([]*runner, error) {
+	for {
+		var idle []*runner
+		for _, w := range c.runners {
+			w.mu.Lock()
+			if age := time.Since(w.polledAt); w.life == 1 && age > minPollAge && age < maxPollAge {
+				idle = append(idle, w)
 			}
+			w.mu.Unlock()
+		}
+		if len(idle) >= n {
+			for _, w := range idle[:n] {
+				w.goDark()
+			}
+			return idle[:n], nil
+		}
+		if err := pause(ctx, poll); err != nil {
+			return nil, fmt.Errorf("no poll waits: %w", err)
 		}
 	}
-	w.mu.Unlock()
-	select {
-	case <-polled:
-	case <-ctx.Done():
-		return fmt.Errorf("the runner is not polled: %w", ctx.Err())
-	}
-	if err := pause(ctx, 100*time.Millisecond); err != nil {
-		return err
-	}
-	w.mu.Lock()
-	w.onHold = nil
-	w.mu.Unlock()
+}
+
+// minPollAge and maxPollAge bound how long a poll has waited when the power is lost.
+const (
+	minPollAge = 20 * time.Millisecond
+	maxPollAge = 300 * time.Millisecond
+)
+
+// goDark takes the power from a runner's machine: it crashes and falls silent.
+func (w *runner) goDark() {
 	w.record.add("runner %s loses power", w.id)
 	w.line.setCut(true)
 	w.crash()
 	w.line.crash()
-	if err := pause(ctx, darkTime); err != nil {
-		return err
-	}
-	w.begin(kind, 0)
+}
+
+// comeBack starts a runner that has lost power under its id. It registers itself as it
+// starts.
+func (w *runner) comeBack() {
+	w.begin(w.kind, 0)
 	w.line.setCut(false)
 	w.beat()
-	return nil
 }
 
 // startCell starts a store, runners of kind a, entries and a configuration.
@@ -134,5 +147,5 @@
 			return err
 		}
 	}
-	return c.startEntries(ctx, smallEntries, platform)
+	return c.startEntries(ctx, cellEntries, platform)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -72,7 +72,7 @@
 	seq      int
 	starts   []start // all that it has begun, over all its lives
 	life     int
-	onHold   func(h holdBody)
+	polledAt time.Time // when the last poll arrived that waits for an end and renews leases
 }
 
 // start is a task that a runner has begun.
@@ -260,11 +260,11 @@
 		w.record.add("runner %s life %d: hold with acked_upto %d and deadline_ms %d at clock_ms %d", w.id, w.life, b.Acked, b.Deadline, w.clock())
 	}
 	w.forget(b.Acked)
-	changed, pending, life, onHold := w.changed, len(w.ends), w.life, w.onHold
-	w.mu.Unlock()
-	if onHold != nil {
-		onHold(b)
+	changed, pending, life := w.changed, len(w.ends), w.life
+	if b.Wait > 0 && b.Deadline > 0 {
+		w.polledAt = time.Now()
 	}
+	w.mu.Unlock()
 	if pending == 0 && b.Wait > 0 {
 		until := time.NewTimer(min(time.Duration(b.Wait)*time.Millisecond, maxPollWait))
 		select {
