--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -230,7 +230,7 @@
 const callTimeout = 3 * time.Second
 
 // call sends a request of a client to an entry. It returns the status, or 0 without an
-// answer, and the state in the body, if there is one.
+// answer, and the state or the number of waiting jobs in the body, if there is one.
 func (c *cell) call(entry int, method string, q queue, id string, body any) (int, string) {
 	var data io.Reader
 	if body != nil {
@@ -253,9 +253,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var answer struct {
-		State string `json:"state"`
+		State   string      `json:"state"`
+		Waiting json.Number `json:"waiting"`
 	}
 	_ = json.NewDecoder(response.Body).Decode(&answer)
+	answer.State += answer.Waiting.String()
 	c.record.add("client  %s %s%s: %d %s", method, q.prefix(), id, response.StatusCode, answer.State)
 	return response.StatusCode, answer.State
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 type playCase func(ctx context.Context, c *cell, trouble bool) (verdict, error)
 
 func cases() map[string]playCase {
-	return map[string]playCase{"oversized": playOversized, "reborn": playReborn, "kind": playKind, "acks": playAcks}
+	return map[string]playCase{"oversized": playOversized, "reborn": playReborn, "kind": playKind, "acks": playAcks, "waiting": playWaiting}
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -72,7 +72,9 @@
 	seq      int
 	starts   []start // all that it has begun, over all its lives
 	life     int
-	polledAt time.Time // when the last poll arrived that waits for an end and renews leases
+	// unhealthy makes the runner refuse all starts.
+	unhealthy bool
+	polledAt  time.Time // when the last poll arrived that waits for an end and renews leases
 }
 
 // start is a task that a runner has begun.
@@ -337,6 +339,10 @@
 	}
 	key := b.Task + "#" + strconv.Itoa(b.Run)
 	switch {
+	case w.unhealthy:
+		w.record.addRun("run     %s run %d is refused at %s, which is unhealthy", b.Task, b.Run, w.id)
+		w.reply(rw, http.StatusServiceUnavailable, "")
+		return
 	case w.running[key] != nil:
 		w.extend(b.Deadline)
 		w.reply(rw, http.StatusOK, "")
