review: keep cases 3 and 5 inside the doses that their claims quote

Cause: case 3 took the power from 2 of 48 runners, a share of 0.0417 where the site's largest is 0.041. In case 5 the runners refused starts from 3 s before the first submission on, 9.5 s in all where 6.5 s is the most. No start was sent in these 3 s.

Done: 2 of 50 runners in case 3; in case 5 the refusals begin with the first submission and end once the entries were asked.

--- a/review/standin/acks.go
+++ b/review/standin/acks.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// darkRunners is the number of runners that lose power together.
+	// darkRunners is the number of runners that lose power together, of acksRunners: a
+	// share of 0.04.
 	darkRunners = 2
+	acksRunners = 50
 	// returnGap is the time between the returns of two of them.
 	returnGap = 50 * time.Millisecond
 	// quickWork is how long each task takes, and quickTasks how many a job has.
@@ -30,7 +32,7 @@
 // short tasks have run there, and others come once they are back.
 func playAcks(ctx context.Context, c *cell, trouble bool) (verdict, error) {
 	quote := queue{"quote", 0, 2}
-	if err := startCell(ctx, c, cellRunners, quote); err != nil {
+	if err := startCell(ctx, c, acksRunners, quote); err != nil {
 		return nil, err
 	}
 	if err := pause(ctx, 2*time.Second); err != nil {
--- a/review/standin/waiting.go
+++ b/review/standin/waiting.go
@@ -17,7 +17,7 @@
 	// visibleTime is visible_ms, countAge the age that a count may have.
 	visibleTime = 3 * time.Second
 	countAge    = 2 * time.Second
-	// unhealthyTime is how long the runners of kind b refuse all starts.
+	// unhealthyTime is how long the runners of kind b refuse all starts at the most.
 	unhealthyTime = 6500 * time.Millisecond
 )
 
@@ -28,19 +28,20 @@
 	if err := startCell(ctx, c, cellRunners-specialRunners, recalc); err != nil {
 		return nil, err
 	}
+	var special []*runner
 	for i := range specialRunners {
 		w, err := c.addRunner(cellRunners-specialRunners+i, "b", largeRoom(), longUptime)
 		if err != nil {
 			return nil, err
 		}
-		w.mu.Lock()
-		w.unhealthy = trouble
-		w.mu.Unlock()
+		special = append(special, w)
 	}
 	if err := pause(ctx, 3*time.Second); err != nil {
 		return nil, err
 	}
 	began := time.Now()
+	setUnhealthy(special, trouble)
+	defer setUnhealthy(special, false)
 	var ids []string
 	for range waitingJobs {
 		id, err := c.submit(ctx, recalc, job{Spec: "0=600", Steps: []step{{Count: 2, CPU: 5000, Memory: 9000, Estimate: 600, Label: "b"}}})
@@ -67,13 +68,18 @@
 				entry+1, told, waiting, time.Since(accepted).Seconds()))
 		}
 	}
-	if err := pause(ctx, unhealthyTime-time.Since(began)); err != nil {
-		return nil, err
+	if trouble && time.Since(began) > unhealthyTime {
+		return nil, fmt.Errorf("the entries were asked after %.1f s, too late for the disruption", time.Since(began).Seconds())
 	}
-	for _, w := range c.runners {
+	return broken, nil
+}
+
+// setUnhealthy has runners refuse all starts, or take them again.
+func setUnhealthy(runners []*runner, unhealthy bool) {
+	for _, w := range runners {
 		w.mu.Lock()
-		w.unhealthy = false
+		w.unhealthy = unhealthy
 		w.mu.Unlock()
+		w.record.add("runner %s refuses starts: %v", w.id, unhealthy)
 	}
-	return broken, pause(ctx, 5*time.Second)
 }
