Log why a step waits, and how many callers there are for advice

Change: State.Waits describes the steps that have waited longest; a line 'step waits' for up to eight of them a second. The cell line and the metrics have the callers, how many are idle, and the limit of the pace. No decision changes. Result: TestWaitsTellWhatAStepLacks passes.

--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -44,6 +44,8 @@
 	count("workers.heard", func(c leader.Counts) int { return c.Reachable })
 	count("workers.excluded", func(c leader.Counts) int { return c.Excluded })
 	count("advice.asked", func(c leader.Counts) int { return c.AdviceCalls })
+	count("advice.callers", func(c leader.Counts) int { return c.Callers })
+	count("advice.idle", func(c leader.Counts) int { return c.IdleCallers })
 	register("control.events", metrics.NewFunctionalGauge(func() int64 { n, _ := e.controller.Cost(); return n }))
 	register("control.nanoseconds", metrics.NewFunctionalGauge(func() int64 { _, d := e.controller.Cost(); return int64(d) }))
 }
@@ -90,10 +92,24 @@
 	if s.Role() != keeper.Leading {
 		return
 	}
-	c := s.Leader().Counts(time.Now())
+	now := time.Now()
+	c := s.Leader().Counts(now)
 	events, spent := e.controller.Cost()
 	e.logger.WithFields(logrus.Fields{
 		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded,
-		"asks": c.AdviceCalls, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
+		"asks": c.AdviceCalls, "callers": c.Callers, "idle": c.IdleCallers, "pace": c.PaceLimit, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
 	}).Info("cell")
+	for _, w := range s.Leader().Waits(now, longWait, maxLoggedWaits) {
+		e.logger.WithFields(logrus.Fields{
+			"epoch": s.Lead().Epoch, "job": string(w.Job), "task": w.Step, "queue": w.Queue, "waitms": now.Sub(w.Since).Milliseconds(), "ahead": w.Ahead,
+			"tasks": w.Idle, "places": w.Places, "asking": w.Asking, "permitted": w.Permitted, "denied": w.Denied, "tickets": w.Tickets,
+		}).Info("step waits")
+	}
 }
+
+const (
+	// longWait is how long a step waits before its state is logged; maxLoggedWaits bounds
+	// the steps that are logged at a time.
+	longWait       = 3 * time.Second
+	maxLoggedWaits = 8
+)
--- a/internal/container/ranking.go
+++ b/internal/container/ranking.go
@@ -38,6 +38,9 @@
 // Len returns the number of names.
 func (r Ranking) Len() int { return r.scores.Len() }
 
+// Has reports whether a name is in the ranking.
+func (r Ranking) Has(name string) bool { return r.scores.Has(name) }
+
 // Score returns the score of a name.
 func (r Ranking) Score(name string) (int64, bool) { return r.scores.Get(name) }
 
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -52,6 +52,9 @@
 	backoffUntil time.Time // no calls before this time, because one has failed
 }
 
+// idle reports whether the entry can be given a call.
+func (c callerState) idle(now time.Time) bool { return c.calls == 0 && !now.Before(c.backoffUntil) }
+
 // adviceCall is an advice call in progress.
 type adviceCall struct {
 	number   int64
@@ -157,7 +160,7 @@
 		}
 	}
 	for caller, state := range p.callers.All() {
-		if state.calls == 0 && !p.now.Before(state.backoffUntil) {
+		if state.idle(p.now) {
 			return caller, true
 		}
 	}
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -75,13 +75,21 @@
 	Reachable    int // listed workers whose last poll was answered
 	Excluded     int // workers temporarily barred from new tasks
 	AdviceCalls  int // advice calls in progress
+	Callers      int // entries that can call for advice
+	IdleCallers  int // of these, without a call in progress or a recent failure
+	PaceLimit    int // less urgent starts between two ticks, 0 for no limit
 	Used         ledger.Resources
 	Capacity     ledger.Resources // capacity of the workers counted in Reachable
 }
 
 // Counts returns a summary of the state at time now.
 func (s State) Counts(now time.Time) Counts {
-	c := Counts{Jobs: s.jobs.Len(), WaitingSteps: s.waiting.Len(), AdviceCalls: s.adviceCalls.Len()}
+	c := Counts{Jobs: s.jobs.Len(), WaitingSteps: s.waiting.Len(), AdviceCalls: s.adviceCalls.Len(), Callers: s.callers.Len(), PaceLimit: s.pace.limit}
+	for _, caller := range s.callers.All() {
+		if caller.idle(now) {
+			c.IdleCallers++
+		}
+	}
 	for _, w := range s.workers.All() {
 		c.Used = c.Used.Plus(w.Used)
 		if !w.Listed {
--- /dev/null
+++ b/internal/leader/waits_test.go
@@ -0,0 +1,35 @@
+package leader_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+// Guards against a log that can't tell a step that isn't asked about from one without
+// room: both only wait.
+func TestWaitsTellWhatAStepLacks(t *testing.T) {
+	h := newHarness(t, 4, ledger.Resources{CPU: 8000, Memory: 8000})
+	h.permitted["w00"] = true
+	q := ledger.Queue{Name: "q", Advice: &ledger.Advice{PerCall: 20 * time.Millisecond, TTL: 2 * time.Second}}
+	h.submit("limited", q, ledger.Step{Count: 3, MaxPerWorker: 1, LongRunning: true, Request: ledger.Resources{CPU: 1000}})
+	h.submit("full", ledger.Queue{Name: "r"}, ledger.Step{Count: 40, Request: ledger.Resources{CPU: 1000}})
+	h.advance(5 * time.Second)
+	waits := h.state.Waits(h.now, 3*time.Second, 8)
+	for i := range waits {
+		assert.Equal(t, h.now.Sub(waits[i].Since), 5*time.Second)
+		waits[i].Since = time.Time{}
+	}
+	assert.DeepEqual(t, waits, []leader.Wait{
+		{Job: "full", Step: "full.0.0", Queue: "r", Idle: 9, Ahead: 1},
+		{Job: "limited", Step: "limited.0.0", Queue: "q", Idle: 2, Permitted: 1, Denied: 3},
+	})
+	assert.Equal(t, len(h.state.Waits(h.now, 3*time.Second, 1)), 1)
+	assert.Equal(t, len(h.state.Waits(h.now, 6*time.Second, 8)), 0)
+	assert.Equal(t, h.state.Counts(h.now).Callers, 4)
+	assert.Equal(t, h.state.Counts(h.now).IdleCallers, 4)
+}
