Reproduce jobs that stand still with room free

Change: two tests that fail, a property with its own count of room, and a soak of real processes with an advice service in review/standin. No change of logic.

--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -19,9 +19,10 @@
 	state          leader.State
 	now            time.Time
 	permitted      map[string]bool
-	queried        [][]string        // workers queried in each advice call
-	running        map[string]string // worker by task
-	ended          map[string]int64  // number of ends by worker
+	permits        func(step, worker string) bool // replaces permitted if it is set
+	queried        [][]string                     // workers queried in each advice call
+	running        map[string]string              // worker by task
+	ended          map[string]int64               // number of ends by worker
 	orders         []leader.Order
 	records        map[ledger.ID]ledger.Progress
 	commitsDelayed bool    // records are not committed
@@ -32,8 +33,13 @@
 }
 
 func newHarness(t *testing.T, workers int, room ledger.Resources) *harness {
+	return newPacedHarness(t, workers, room, 0)
+}
+
+// newPacedHarness returns a harness with a pause between placement passes.
+func newPacedHarness(t *testing.T, workers int, room ledger.Resources, pause time.Duration) *harness {
 	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
-	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}, h.now)
+	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: pause}, h.now)
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		h.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: room}})
@@ -87,7 +93,7 @@
 func (h *harness) answerAdvice(c leader.RequestAdvice) {
 	var permits []leader.Permit
 	for _, id := range c.Workers {
-		if h.permitted[id] {
+		if h.permits != nil && h.permits(c.Step, id) || h.permits == nil && h.permitted[id] {
 			permits = append(permits, leader.Permit{Worker: id, Ticket: "t"})
 		}
 	}
--- /dev/null
+++ b/internal/leader/liveness_test.go
@@ -0,0 +1,185 @@
+package leader_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+// advised returns a queue whose steps need advice.
+func advised(name string, priority int) ledger.Queue {
+	return ledger.Queue{Name: name, Priority: priority, Advice: &ledger.Advice{PerCall: 20 * time.Millisecond, TTL: 2 * time.Second}}
+}
+
+// Guards against jobs that stand still with room free: lasting steps with more tasks than
+// permitted workers used up the searches of every pass, so that no step behind them was
+// ever asked about.
+func TestStepsThatCannotBePlacedHoldUpNoOthers(t *testing.T) {
+	h := newHarness(t, 24, ledger.Resources{CPU: 64000, Memory: 64000})
+	for i := range 8 {
+		h.permitted[fmt.Sprintf("w%02d", i)] = true
+	}
+	for i := range 20 {
+		h.submit(ledger.ID(fmt.Sprintf("lasting%d", i)), advised("lasting", 1), ledger.Step{Count: 10, MaxPerWorker: 1, LongRunning: true, Request: ledger.Resources{CPU: 1000}})
+	}
+	h.advance(10 * time.Second)
+	assert.Equal(t, len(h.running), 160)
+	h.submit("j", advised("batch", 2), ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
+	h.advance(3 * time.Second)
+	assert.Equal(t, len(h.running), 162)
+}
+
+// Guards against the same for steps that have tickets: those without room at the workers
+// that they may run on ended every pass.
+func TestStepsWithoutRoomHoldUpNoOthers(t *testing.T) {
+	h := newHarness(t, 4, ledger.Resources{CPU: 64000, Memory: 64000})
+	for i := range 200 {
+		h.submit(ledger.ID(fmt.Sprintf("lasting%d", i)), ledger.Queue{Priority: 1}, ledger.Step{Count: 5, MaxPerWorker: 1, LongRunning: true, Request: ledger.Resources{CPU: 10}})
+	}
+	h.advance(time.Second)
+	assert.Equal(t, len(h.running), 800)
+	h.submit("j", ledger.Queue{Priority: 2}, ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
+	h.advance(3 * time.Second)
+	assert.Equal(t, len(h.running), 802)
+}
+
+// calmCell is a cell in which nothing fails. It counts free room by itself.
+type calmCell struct {
+	*harness
+	room    ledger.Resources
+	workers int
+	share   int // percentage of the workers that may run a step
+	jobs    map[ledger.ID]ledger.Job
+	began   map[string]time.Time // by task
+	done    map[string]bool
+}
+
+func (c *calmCell) permits(step, worker string) bool {
+	f := fnv.New32a()
+	_, _ = f.Write([]byte(step + worker))
+	return int(f.Sum32()%100) < c.share
+}
+
+// shortRun is how long each task runs that is not meant to last.
+const shortRun = 300 * time.Millisecond
+
+// pass lets time pass. Gangs and short tasks end as done after shortRun.
+func (c *calmCell) pass(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(50 * time.Millisecond)
+		c.apply(leader.Ticked{})
+		ends := map[string][]leader.RunEnd{}
+		for task, at := range c.running {
+			if _, seen := c.began[task]; !seen {
+				c.began[task] = c.now
+			}
+			if id, _ := ledger.ParseTaskID(task); c.now.Sub(c.began[task]) >= shortRun && !c.jobs[id.Job].Steps[id.Step].LongRunning {
+				c.ended[at]++
+				ends[at] = append(ends[at], leader.RunEnd{Number: c.ended[at], Task: task, Run: 1, Kind: leader.EndDone})
+			}
+		}
+		for at, list := range ends {
+			for _, e := range list {
+				delete(c.running, e.Task)
+				c.done[e.Task] = true
+			}
+			c.report(at, list...)
+		}
+	}
+}
+
+// inUse returns the share of all room that is in use.
+func (c *calmCell) inUse() float64 {
+	used := ledger.Resources{}
+	for task := range c.running {
+		id, _ := ledger.ParseTaskID(task)
+		used = used.Plus(c.jobs[id.Job].Steps[id.Step].Reservation())
+	}
+	return float64(used.CPU) / float64(c.room.CPU*int64(c.workers))
+}
+
+// startable returns a step that has idle tasks and fits, though it has not started.
+func (c *calmCell) startable() string {
+	for id, job := range c.jobs {
+		step := job.Steps[0]
+		free := map[string]ledger.Resources{}
+		here := map[string]int{}
+		for i := range c.workers {
+			free[fmt.Sprintf("w%02d", i)] = c.room
+		}
+		for task, at := range c.running {
+			other, _ := ledger.ParseTaskID(task)
+			free[at] = free[at].Minus(c.jobs[other.Job].Steps[other.Step].Reservation())
+			if other.Job == id {
+				here[at]++
+			}
+		}
+		idle, places := 0, 0
+		for i := range step.Count {
+			if task := fmt.Sprintf("%s.0.0.%d", id, i); !c.done[task] && c.running[task] == "" {
+				idle++
+			}
+		}
+		for worker, left := range free {
+			if job.Queue.Advice != nil && !c.permits(string(id)+".0.0", worker) {
+				continue
+			}
+			fits := int(left.CPU / step.Request.CPU)
+			if step.MaxPerWorker > 0 {
+				fits = min(fits, step.MaxPerWorker-here[worker])
+			}
+			places += max(fits, 0)
+		}
+		needs := 1
+		if step.Gang {
+			needs = step.Count
+		}
+		if idle > 0 && places >= 2*needs {
+			return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
+		}
+	}
+	return ""
+}
+
+// Guards against steps that wait though there is room for them, in a cell in which nothing
+// fails: whatever waits beside them.
+func TestStepsThatFitStartInACalmCell(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &calmCell{
+			room: ledger.Resources{CPU: 8000, Memory: 1 << 40}, workers: rapid.IntRange(4, 24).Draw(rt, "workers"), share: rapid.IntRange(20, 90).Draw(rt, "share"),
+			jobs: map[ledger.ID]ledger.Job{}, began: map[string]time.Time{}, done: map[string]bool{},
+		}
+		c.harness = newPacedHarness(t, c.workers, c.room, 10*time.Millisecond)
+		c.harness.permits = c.permits
+		for n := range rapid.IntRange(1, 60).Draw(rt, "jobs") {
+			q := ledger.Queue{Name: "plain", Priority: rapid.IntRange(0, 2).Draw(rt, "priority")}
+			if rapid.Bool().Draw(rt, "advice") {
+				q = advised("advised", q.Priority)
+			}
+			step := ledger.Step{Count: rapid.IntRange(1, 30).Draw(rt, "count"), Request: ledger.Resources{CPU: int64(rapid.IntRange(50, 4000).Draw(rt, "cpu"))}}
+			switch rapid.SampledFrom([]string{"short", "gang", "lasting"}).Draw(rt, "kind") {
+			case "gang":
+				step.Gang = true
+			case "lasting":
+				step.LongRunning, step.MaxPerWorker, step.Request.CPU = true, 1, 50
+			}
+			id := ledger.ID(fmt.Sprintf("j%02d", n))
+			c.jobs[id] = ledger.Job{ID: id, Queue: q, Steps: []ledger.Step{step}}
+			c.submit(id, q, step)
+			c.pass(time.Duration(rapid.IntRange(0, 100).Draw(rt, "pause")) * time.Millisecond)
+		}
+		for c.pass(time.Second); c.inUse() >= 0.5; c.pass(time.Second) {
+		}
+		c.pass(3 * time.Second)
+		if found := c.startable(); found != "" && c.inUse() < 0.5 {
+			rt.Fatal(found)
+		}
+	})
+}
--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -13,6 +13,9 @@
 	Times    int    `json:"times,omitempty"`
 	StartAt  int64  `json:"start_at_ms,omitempty"`
 	Interval int64  `json:"interval_ms,omitempty"`
+
+	failShare float64 // share of the runs that fail
+	poisoned  bool    // all of them do
 }
 
 type step struct {
@@ -24,6 +27,8 @@
 	MaxPerServer int    `json:"max_per_server,omitempty"`
 	LongRunning  bool   `json:"long_running,omitempty"`
 	Checkpoint   bool   `json:"checkpoint,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	After        []int  `json:"after,omitempty"`
 }
 
 // startsOf returns what the runners have begun of a job.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,9 @@
 
 // run plays the case that the arguments name: standin CASE RECORD, in the repository's root.
 func run() int {
+	if len(os.Args) > 1 && os.Args[1] == "soak" {
+		return runSoak(os.Args[2:])
+	}
 	if len(os.Args) != 3 || cases()[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		return exitFailed
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -40,6 +40,9 @@
 	began    time.Time
 	takes    time.Duration // 0: until it is stopped
 	stopping bool
+	gang     int // members of its gang, or 0
+	fails    bool
+	size     room
 }
 
 // end is the end of a run.
@@ -57,6 +60,8 @@
 	store                   *store
 	record                  *record
 	line                    *line
+	board                   *board         // nil where a case keeps no account of jobs
+	advice                  *adviceService // nil without advice
 
 	mu       sync.Mutex
 	up       bool
@@ -102,6 +107,7 @@
 	Spec     string `json:"spec"`
 	Deadline int64  `json:"deadline_ms"`
 	Fence    int64  `json:"fence"`
+	Ticket   string `json:"ticket"`
 }
 
 // begin begins a life of the runner, with a steady clock that shows uptime.
@@ -134,6 +140,9 @@
 			s.until, s.how = time.Now(), how
 		}
 	}
+	if w.board != nil {
+		w.board.ended(t.name, how)
+	}
 	w.record.addRun("run     %s run %d at %s ends: %s", t.name, t.run, w.id, how)
 }
 
@@ -196,7 +205,9 @@
 		switch {
 		case lapsed:
 			w.finish(key, t, "lapsed")
-		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping:
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.fails:
+			w.finish(key, t, "failed")
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.gang == 0:
 			w.finish(key, t, "done")
 		}
 	}
@@ -289,6 +300,9 @@
 // forget drops the ends up to a number. The caller holds the lock.
 func (w *runner) forget(acked int64) {
 	for len(w.ends) > 0 && w.ends[0].number <= acked {
+		if w.board != nil && w.ends[0].how == "done" {
+			w.board.note(w.ends[0].task)
+		}
 		for i := range w.starts {
 			s := &w.starts[i]
 			if s.task == w.ends[0].task && s.run == w.ends[0].run && s.life == w.life {
@@ -355,8 +369,18 @@
 		w.reply(rw, http.StatusConflict, "late")
 		return
 	}
+	if w.advice != nil && !w.advice.valid(b.Ticket, b.Task, w.id, w.life) {
+		w.reply(rw, http.StatusConflict, "ticket")
+		return
+	}
 	w.extend(b.Deadline)
-	w.running[key] = &task{name: b.Task, run: b.Run, began: time.Now(), takes: takes(b.Spec, b.Task)}
+	t := &task{name: b.Task, run: b.Run, began: time.Now(), takes: takes(b.Spec, b.Task)}
+	w.running[key] = t
+	if w.board != nil {
+		t.gang, t.fails = w.board.behavior(b.Task, b.Run)
+		t.size = w.board.size(b.Task)
+		w.board.began(b.Task, b.Run)
+	}
 	w.starts = append(w.starts, start{task: b.Task, run: b.Run, at: time.Now(), kind: w.kind, life: w.life})
 	w.record.addRun("run     %s run %d begins at %s (kind %s, life %d)", b.Task, b.Run, w.id, w.kind, w.life)
 	w.reply(rw, http.StatusOK, "")
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -56,15 +56,38 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	refused int // appends with a record that is too long
+	delay   time.Duration
+	away    bool
+}
+
+// disturb slows the appends down or has all calls refused.
+func (s *store) disturb(delay time.Duration, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay, s.away = delay, away
+}
+
+// whenThere refuses calls while the store is away.
+func (s *store) whenThere(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serve(w, r)
+	}
 }
 
 func newStore() *store { return &store{topics: map[string]*topic{}} }
 
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", s.serveAppend)
-	mux.HandleFunc("GET /log-read", s.serveRead)
-	mux.HandleFunc("GET /log-newest", s.serveNewest)
+	mux.HandleFunc("POST /log-append", s.whenThere(s.serveAppend))
+	mux.HandleFunc("GET /log-read", s.whenThere(s.serveRead))
+	mux.HandleFunc("GET /log-newest", s.whenThere(s.serveNewest))
 	return mux
 }
 
@@ -84,6 +107,11 @@
 	if value != nil {
 		data, _ = json.Marshal(value)
 	}
+	s.putRaw(name, key, data)
+}
+
+// putRaw adds a value as it is, or drops the key if it is nil.
+func (s *store) putRaw(name, key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.get(name).add([]entryRecord{{key: key, value: data}})
@@ -154,12 +182,12 @@
 	}
 	q := r.URL.Query()
 	s.mu.Lock()
-	t := s.get(q.Get("topic"))
+	t, delay := s.get(q.Get("topic")), s.delay
 	s.mu.Unlock()
 	t.appending.Lock()
 	defer t.appending.Unlock()
 	if len(records) > 0 {
-		time.Sleep(appendTime)
+		time.Sleep(appendTime + delay)
 	}
 	s.mu.Lock()
 	status, answer := t.append(records, q.Get("at"), q.Get("producer"), number(q.Get("epoch")), number(q.Get("seq")))
