Give each waiting step a turn in the placement passes

Cause: a pass ends its requests for advice after four steps for which no worker is left to query, and ends altogether after 64 steps without room. Both budgets were spent from the head of the ranking in each pass. Lasting steps with more tasks than permitted workers stay at the head, so nothing behind them was asked about or placed. Change: half of each budget goes to the steps that rank first, as before; the other half goes to steps that have not had their turn since each step had one.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -31,8 +31,7 @@
 	// permitRatioWeight is the weight of a new answer in the moving average.
 	permitRatioWeight = 0.1
 	// maxFailedSearches is how many steps in one pass may find no worker with room to
-	// query. Each search visits all workers, and after these another one is unlikely
-	// to succeed.
+	// query, in either half of the effort. Each search visits all workers.
 	maxFailedSearches = 4
 	// callTimeoutSlack is how much longer than estimated a call may take before it
 	// counts as failed.
@@ -111,7 +110,7 @@
 func (p *placementPass) requestAdvice(r stepRef, have permits) {
 	advice := r.job.Job.Queue.Advice
 	long := advice.PerCall >= longCallTime
-	if p.callersBusy[long] || p.failedSearches >= maxFailedSearches {
+	if p.callersBusy[long] || !p.failedSearches.allows(r.key) {
 		return
 	}
 	caller, ok := p.idleCaller(long)
@@ -121,7 +120,7 @@
 	}
 	queried := p.chooseNominees(r, have)
 	if len(queried) == 0 {
-		p.failedSearches++
+		p.failedSearches.spend(r.key)
 		p.deferStep(r)
 		return
 	}
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -100,9 +100,12 @@
 	h.apply(leader.AdviceAnswered{Call: c.Call, Permits: permits})
 }
 
-func (h *harness) advance(d time.Duration) {
+func (h *harness) advance(d time.Duration) { h.advanceBy(100*time.Millisecond, d) }
+
+// advanceBy lets time pass in steps, each of which brings a placement pass.
+func (h *harness) advanceBy(step, d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); {
-		h.now = h.now.Add(100 * time.Millisecond)
+		h.now = h.now.Add(step)
 		h.apply(leader.Ticked{})
 	}
 }
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -32,7 +32,7 @@
 		}
 		return
 	}
-	p.fullSteps++
+	p.fullSteps.spend(r.key)
 	p.deferStep(r)
 }
 
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -131,6 +131,7 @@
 // unrankStep removes a step from the waiting steps.
 func (t *transition) unrankStep(key string) {
 	t.waiting, t.readySince, t.retryAt = t.waiting.Without(key), t.readySince.Without(key), t.retryAt.Without(key)
+	t.fullTurns, t.searchTurns = t.fullTurns.Without(key), t.searchTurns.Without(key)
 }
 
 // rankForPrefetch adds a step to those whose advice is requested ahead of time if
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -18,6 +18,9 @@
 	return ledger.Queue{Name: name, Priority: priority, Advice: &ledger.Advice{PerCall: 20 * time.Millisecond, TTL: 2 * time.Second}}
 }
 
+// passTime is the time between two placement passes while events come in.
+const passTime = 10 * time.Millisecond
+
 // Guards against jobs that stand still with room free: lasting steps with more tasks than
 // permitted workers used up the searches of every pass, so that no step behind them was
 // ever asked about.
@@ -32,7 +35,7 @@
 	h.advance(10 * time.Second)
 	assert.Equal(t, len(h.running), 160)
 	h.submit("j", advised("batch", 2), ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
-	h.advance(3 * time.Second)
+	h.advanceBy(passTime, 3*time.Second)
 	assert.Equal(t, len(h.running), 162)
 }
 
@@ -46,7 +49,7 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.running), 800)
 	h.submit("j", ledger.Queue{Priority: 2}, ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
-	h.advance(3 * time.Second)
+	h.advanceBy(passTime, 3*time.Second)
 	assert.Equal(t, len(h.running), 802)
 }
 
@@ -156,7 +159,7 @@
 			room: ledger.Resources{CPU: 8000, Memory: 1 << 40}, workers: rapid.IntRange(4, 24).Draw(rt, "workers"), share: rapid.IntRange(20, 90).Draw(rt, "share"),
 			jobs: map[ledger.ID]ledger.Job{}, began: map[string]time.Time{}, done: map[string]bool{},
 		}
-		c.harness = newPacedHarness(t, c.workers, c.room, 10*time.Millisecond)
+		c.harness = newPacedHarness(t, c.workers, c.room, passTime)
 		c.harness.permits = c.permits
 		for n := range rapid.IntRange(1, 60).Draw(rt, "jobs") {
 			q := ledger.Queue{Name: "plain", Priority: rapid.IntRange(0, 2).Draw(rt, "priority")}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -21,8 +21,8 @@
 	callCounts     []int32               // advice calls in progress that query each slot, nil until counted
 	nomineeSpace   nomineeQueue          // reused between advice calls
 	callersBusy    map[bool]bool         // no entry is idle for a long (true) or short call
-	fullSteps      int                   // steps with tickets and without room
-	failedSearches int                   // steps without room anywhere that an advice call could query
+	fullSteps      effort                // steps with tickets and without room
+	failedSearches effort                // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
 	headrooms      map[string]*headroom  // by service; none where no urgent task runs
@@ -41,6 +41,8 @@
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
 	p.headrooms = newHeadrooms(p.slots, p.now)
+	p.fullSteps = effort{half: maxFullSteps, turns: p.fullTurns}
+	p.failedSearches = effort{half: maxFailedSearches, turns: p.searchTurns}
 	for key, score := range t.waiting.From(minScore) {
 		if p.deferrable = deferrable(score); p.deferrable && p.pace.exhausted() {
 			break
@@ -48,21 +50,23 @@
 		if at, ok := t.retryAt.Get(key); ok && t.now.Before(at) {
 			continue
 		}
+		if !p.fullSteps.allows(key) {
+			continue
+		}
 		if r, ok := t.resolveStep(key); ok {
 			p.placeStep(r)
 		}
-		if p.fullSteps >= maxFullSteps {
-			break
-		}
 	}
 	for _, id := range p.rerank {
 		p.rankSteps(id)
 	}
 	p.prefetchAdvice()
+	p.fullTurns, p.searchTurns = p.fullSteps.left(), p.failedSearches.left()
 }
 
 // maxFullSteps is how many steps in one pass may find no room at the workers that they
-// may run on. Room is scarce then, and what there is belongs to the most urgent.
+// may run on, in either half of the effort. Room is scarce then, and what there is belongs
+// to the most urgent.
 const maxFullSteps = 64
 
 const (
@@ -137,7 +141,7 @@
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
-			p.fullSteps++
+			p.fullSteps.spend(r.key)
 			p.deferStep(r)
 			p.preempt(r, eligible, counts)
 			return
