Submit the linked entries in the order of their changes

Cause: each link read the set of entries and submitted it without order. A set that was held up between the two, by a scheduling delay, replaced the newer one and stayed until the next link. Change: SubmitLinked holds a lock from reading the set until it is submitted, also at the start of a leader. The same for the entries that the delegator gets as deputies.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -146,6 +146,7 @@
 	group       errgroup.Group
 	catchUpSlot chan struct{} // semaphore with one slot, held while CatchUp reads
 
+	deputiesMu   sync.Mutex // held while the linked entries are passed on to the delegator
 	mu           sync.Mutex
 	active       *leaderServices               // nil unless this entry leads
 	stopFollower map[string]context.CancelFunc // by stream that is followed temporarily
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -161,9 +161,8 @@
 	e.mu.Lock()
 	e.active = c
 	e.mu.Unlock()
-	e.updateDeputies()
 	e.group.Go(func() error {
-		e.controller.Submit(keeper.LeaderEvent{Epoch: epoch, Event: leader.CallersChanged{Callers: e.linker.Callers()}})
+		e.linker.SubmitLinked()
 		return nil
 	})
 }
@@ -195,6 +194,8 @@
 
 // updateDeputies passes the linked entries on to the delegator, if this entry leads.
 func (e *Entry) updateDeputies() {
+	e.deputiesMu.Lock() // an older set must not arrive last
+	defer e.deputiesMu.Unlock()
 	e.mu.Lock()
 	c := e.active
 	e.mu.Unlock()
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -89,7 +89,7 @@
 	l.addresses = known
 	l.mu.Unlock()
 	l.Logger.WithField("peer", m.Name).Info("entry is linked")
-	l.submitLinked()
+	l.SubmitLinked()
 	s := l.Viewer.Snapshot()
 	if s.Role() != keeper.Leading || s.Lead().Epoch < m.Epoch {
 		return helloAnswer{}, nil
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -106,6 +106,8 @@
 	OnAnnounced func(values []replicator.Value) // called with values that another entry has added to the stream of jobs
 	Logger      logrus.FieldLogger
 
+	submitting sync.Mutex // held from reading the linked entries until they are submitted, so that an older set never arrives last
+
 	mu        sync.Mutex
 	entries   map[string]peer   // entries linked to this one, by name
 	version   int64             // rises with each change of entries
@@ -151,7 +153,7 @@
 	l.mu.Unlock()
 	if name != "" {
 		l.Logger.WithField("peer", name).Info("entry is no longer linked")
-		l.submitLinked()
+		l.SubmitLinked()
 	}
 }
 
@@ -266,9 +268,11 @@
 	return strongest
 }
 
-// submitLinked submits which entries are linked, since these can ask for advice,
+// SubmitLinked submits which entries are linked, since these can ask for advice,
 // and how strong the strongest of them is, since a stronger one may lead.
-func (l *Linker) submitLinked() {
+func (l *Linker) SubmitLinked() {
+	l.submitting.Lock()
+	defer l.submitting.Unlock()
 	s := l.Viewer.Snapshot()
 	l.mu.Lock()
 	strongest := l.strongest(s.Self)
