Acknowledge ends only to the incarnation that was heard

Cause: a poll beside the one in flight, sent once the restart was listed, acknowledged ends by the numbers of the earlier incarnation, since the poll in flight had not failed yet. The new one forgot ends that nobody had read. Change: a poll that is sent 500 ms or more after the last answer acknowledges nothing and does not wait; the answer shows which incarnation it is, and the next poll acknowledges. A restart in less than that while no poll is in flight is still not covered.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -29,6 +29,10 @@
 	// in the log and acknowledged. A worker with unacknowledged ends answers a poll
 	// at once instead of waiting.
 	ackWait = time.Second
+	// minRestartTime is the shortest time in which a worker crashes, starts again under its
+	// id and can be called. A poll that is sent later than that after the last answer may
+	// reach another incarnation.
+	minRestartTime = 500 * time.Millisecond
 	// pollBackoff is the pause after a poll without an answer.
 	pollBackoff = 250 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
@@ -97,6 +101,7 @@
 	ackChanged    chan struct{} // signaled when acked changes
 	clock         int64         // steady clock of the worker, milliseconds
 	clockReadAt   time.Time     // when clock was received
+	heardAt       time.Time     // when the last report arrived
 	leaseDeadline int64         // latest lease deadline sent, on the worker's clock
 	unanswered    bool          // the last poll got no answer
 	fullReportAt  time.Time     // when running tasks were last reported
@@ -209,10 +214,15 @@
 	}
 }
 
-// poll asks a worker for a report and submits the result.
+// poll asks a worker for a report and submits the result. It does not wait for the end of
+// a run before it is known which incarnation answers.
 func (c *Commander) poll(ctx context.Context, worker string, s *workerState, wait time.Duration) error {
-	to, acked := c.renewedTarget(worker, s, time.Now())
 	sent := time.Now()
+	acked, same := s.acknowledged(sent)
+	if !same {
+		wait = 0
+	}
+	to := c.renewedTarget(worker, s, sent)
 	report, err := c.Workers.Poll(ctx, to, acked, wait)
 	c.Polls.UpdateSince(sent)
 	if ctx.Err() != nil {
@@ -231,11 +241,28 @@
 	return nil
 }
 
-// renewedTarget returns the target of a call that renews leases, and the number
-// up to which ends are acknowledged. Leases are renewed once the worker's clock
-// is known, and as long as the worker answers and the log confirms the leader:
-// the leases of a silent worker must be able to lapse.
-func (c *Commander) renewedTarget(worker string, s *workerState, now time.Time) (Target, int64) {
+// acknowledged returns the number up to which a poll acknowledges ends, and whether the
+// poll reaches the incarnation that was heard last. Another one counts its ends anew and
+// must not forget any that it has not reported.
+func (s *workerState) acknowledged(now time.Time) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.sameIncarnation(now) {
+		return 0, false
+	}
+	return s.acked, true
+}
+
+// sameIncarnation reports whether a poll reaches the incarnation that was heard last. The
+// caller holds the lock.
+func (s *workerState) sameIncarnation(now time.Time) bool {
+	return !s.unanswered && now.Sub(s.heardAt) < minRestartTime
+}
+
+// renewedTarget returns the target of a call that renews leases. Leases are renewed once
+// the worker's clock is known, and as long as the worker answers and the log confirms the
+// leader: the leases of a silent worker must be able to lapse.
+func (c *Commander) renewedTarget(worker string, s *workerState, now time.Time) Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := Target{Worker: worker, Address: s.address, Epoch: c.Epoch}
@@ -243,7 +270,7 @@
 		s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
 		to.Deadline = s.leaseDeadline
 	}
-	return to, s.acked
+	return to
 }
 
 // permitted reports whether the leader was confirmed lately enough for calls in its
@@ -260,14 +287,13 @@
 	to := Target{Worker: worker, Address: s.address, Epoch: c.Epoch, Deadline: s.leaseDeadline}
 	s.mu.Unlock()
 	if to.Deadline == 0 {
-		to, _ = c.renewedTarget(worker, s, now)
+		to = c.renewedTarget(worker, s, now)
 	}
 	return to
 }
 
-// recordMiss records a poll without an answer. It resets acked, since the next
-// poll may reach another incarnation of the worker, which must not forget ends
-// that it has not reported.
+// recordMiss records a poll without an answer. It resets acked: what the worker reports
+// after that is acknowledged anew.
 func (s *workerState) recordMiss() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -287,7 +313,7 @@
 	if full {
 		s.fullReportAt = sent
 	}
-	s.unanswered = false
+	s.unanswered, s.heardAt = false, now
 	if r.Incarnation != s.incarnation {
 		s.incarnation, s.acked, s.lastEnd, s.leaseDeadline, s.clock = r.Incarnation, 0, 0, 0, 0
 	}
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -25,6 +25,7 @@
 	fail   error // result of polls and orders
 	polls  []commander.Target
 	acked  []int64
+	hold   time.Duration // how long a poll waits that may wait, 0 for a short while
 }
 
 func (w *workers) Order(context.Context, commander.Target, leader.Order) error {
@@ -37,12 +38,12 @@
 	w.mu.Lock()
 	w.polls = append(w.polls, to)
 	w.acked = append(w.acked, acked)
-	report, fail := w.report, w.fail
+	report, fail, hold := w.report, w.fail, max(w.hold, 20*time.Millisecond)
 	w.mu.Unlock()
 	if wait > 0 && fail == nil && len(report.Ended) == 0 {
 		select {
 		case <-ctx.Done():
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(hold):
 		}
 	}
 	return report, fail
@@ -148,6 +149,20 @@
 	assert.Equal(t, acked[2], int64(0))
 }
 
+// Guards against done tasks that run again: a worker that had restarted under its id forgot
+// ends of its new incarnation, since a poll beside the one in flight acknowledged them by
+// the numbers of the earlier one.
+func TestNothingIsAcknowledgedToAWorkerThatMayHaveRestarted(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}, hold: 2 * time.Second}
+	c, _ := start(t, w, time.Now)
+	awaitPolls(t, w, 2) // the second waits
+	c.Acknowledge(leader.Acknowledge{Worker: "w", Incarnation: 1, Number: 57})
+	time.Sleep(700 * time.Millisecond)
+	c.Poll(leader.PollNow{Worker: "w"})
+	_, acked := awaitPolls(t, w, 3)
+	assert.Equal(t, acked[2], int64(0))
+}
+
 // A leader that the log does not confirm lets leases lapse: a new leader may
 // wait for that.
 func TestUnconfirmedLeaderRenewsNothing(t *testing.T) {
