Send and note lease deadlines for one incarnation only

Cause: the poll that followed the restart carried a lease deadline on the clock of the earlier incarnation. It was noted for the later one, with the report or with the failure of the poll that had been in flight. Change: a poll that may reach another incarnation than the one heard last carries no deadline. A report of another incarnation and a failed poll of an earlier one bring none. The commander, the delegator, the packer and the leader pass with -race.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -53,6 +53,8 @@
 	Address  string
 	Epoch    int64 // epoch of the leader, by which the worker fences off earlier ones
 	Deadline int64 // end of the leases on the worker's clock, milliseconds; 0 leaves them unchanged
+
+	Incarnation int64 // the incarnation on whose clock the deadline is, 0 if none was heard
 }
 
 // Workers calls workers.
@@ -218,11 +220,10 @@
 // a run before it is known which incarnation answers.
 func (c *Commander) poll(ctx context.Context, worker string, s *workerState, wait time.Duration) error {
 	sent := time.Now()
-	acked, same := s.acknowledged(sent)
+	to, acked, same := c.pollTarget(worker, s, sent)
 	if !same {
 		wait = 0
 	}
-	to := c.renewedTarget(worker, s, sent)
 	report, err := c.Workers.Poll(ctx, to, acked, wait)
 	c.Polls.UpdateSince(sent)
 	if ctx.Err() != nil {
@@ -231,26 +232,36 @@
 	if err != nil {
 		s.recordMiss()
 		c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch}).WithError(err).Debug("worker poll failed")
-		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Deadline: to.Deadline})
+		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: to.Deadline})
 		return err
 	}
 	if !s.recordReport(report, sent, wait == 0) {
 		report.Running, report.Partial = nil, true
 	}
+	if report.Incarnation != to.Incarnation {
+		to.Deadline = 0 // on the clock of another incarnation
+	}
 	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: sent, Deadline: to.Deadline})
 	return nil
 }
 
-// acknowledged returns the number up to which a poll acknowledges ends, and whether the
-// poll reaches the incarnation that was heard last. Another one counts its ends anew and
-// must not forget any that it has not reported.
-func (s *workerState) acknowledged(now time.Time) (int64, bool) {
+// pollTarget returns the target of a poll, the number up to which it acknowledges ends, and
+// whether it reaches the incarnation that was heard last. Another one counts its ends anew
+// and has a clock of its own: it must not forget ends that it has not reported, nor hold
+// leases up to a time on the clock of an earlier one.
+func (c *Commander) pollTarget(worker string, s *workerState, now time.Time) (Target, int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.sameIncarnation(now) {
-		return 0, false
+		return c.target(worker, s), 0, false
 	}
-	return s.acked, true
+	return c.renewedTarget(worker, s, now), s.acked, true
+}
+
+// target returns the target of a call that renews no leases. The caller holds the lock of
+// the worker's state.
+func (c *Commander) target(worker string, s *workerState) Target {
+	return Target{Worker: worker, Address: s.address, Epoch: c.Epoch, Incarnation: s.incarnation}
 }
 
 // sameIncarnation reports whether a poll reaches the incarnation that was heard last. The
@@ -261,11 +272,10 @@
 
 // renewedTarget returns the target of a call that renews leases. Leases are renewed once
 // the worker's clock is known, and as long as the worker answers and the log confirms the
-// leader: the leases of a silent worker must be able to lapse.
+// leader: the leases of a silent worker must be able to lapse. The caller holds the lock
+// of the worker's state.
 func (c *Commander) renewedTarget(worker string, s *workerState, now time.Time) Target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	to := Target{Worker: worker, Address: s.address, Epoch: c.Epoch}
+	to := c.target(worker, s)
 	if !s.clockReadAt.IsZero() && !s.unanswered && c.permitted(now) {
 		s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
 		to.Deadline = s.leaseDeadline
@@ -284,11 +294,12 @@
 // Only an order that comes before the first such deadline sets one.
 func (c *Commander) orderTarget(worker string, s *workerState, now time.Time) Target {
 	s.mu.Lock()
-	to := Target{Worker: worker, Address: s.address, Epoch: c.Epoch, Deadline: s.leaseDeadline}
-	s.mu.Unlock()
-	if to.Deadline == 0 {
-		to = c.renewedTarget(worker, s, now)
+	defer s.mu.Unlock()
+	if s.leaseDeadline == 0 {
+		return c.renewedTarget(worker, s, now)
 	}
+	to := c.target(worker, s)
+	to.Deadline = s.leaseDeadline
 	return to
 }
 
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -85,6 +85,19 @@
 	return all
 }
 
+// reports returns the reports of an incarnation.
+func (e *events) reports(incarnation int64) []leader.Reported {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []leader.Reported
+	for _, event := range e.all {
+		if r, ok := event.(leader.Reported); ok && r.Report.Incarnation == incarnation {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
 func start(t *testing.T, w *workers, confirmed func() time.Time) (*commander.Commander, *events) {
 	t.Helper()
 	logger, _ := test.NewNullLogger()
@@ -163,6 +176,26 @@
 	assert.Equal(t, acked[2], int64(0))
 }
 
+// Guards against leases that end an hour late: the same poll carried a deadline on the
+// clock of the earlier incarnation.
+func TestNoDeadlineIsSentToAWorkerThatMayHaveRestarted(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 3_600_000}, hold: 2 * time.Second}
+	c, sink := start(t, w, time.Now)
+	awaitPolls(t, w, 2) // the second waits
+	time.Sleep(700 * time.Millisecond)
+	w.set(leader.Report{Incarnation: 2, Clock: 100}, nil)
+	c.Poll(leader.PollNow{Worker: "w"})
+	polls, _ := awaitPolls(t, w, 1)
+	assert.Equal(t, polls[0].Deadline, int64(0))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(sink.reports(2)) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no report of the later incarnation yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, sink.reports(2)[0].Deadline, int64(0))
+}
+
 // A leader that the log does not confirm lets leases lapse: a new leader may
 // wait for that.
 func TestUnconfirmedLeaderRenewsNothing(t *testing.T) {
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -76,8 +76,9 @@
 
 // PollFailed reports that a worker was polled and no report arrived.
 type PollFailed struct {
-	Worker   string
-	Deadline int64 // as in Reported: the lease may have arrived
+	Worker      string
+	Incarnation int64 // the incarnation that was heard last before the poll, 0 if none was
+	Deadline    int64 // as in Reported, on the clock of that incarnation: the lease may have arrived
 }
 
 // PollerLost reports that nothing is known any more of the polls that were sent to a
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -68,6 +68,23 @@
 	assert.Assert(t, h.now.Sub(lost) < staleRenewal+testLease+time.Second, "given up after %v", h.now.Sub(lost))
 }
 
+// Guards against runs that are given up an hour late: a poll of an earlier incarnation that
+// failed after the later one had reported left a deadline on the clock of the earlier one.
+func TestAFailedPollOfAnEarlierIncarnationSaysNothing(t *testing.T) {
+	h := startedRun(t)
+	r := leader.Report{Incarnation: 2, Clock: 100, Running: []leader.RunStatus{{Task: "j.0.0.0", Number: 1, Percent: 10}}}
+	h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 1, Deadline: time.Hour.Milliseconds()})
+	assert.Equal(t, h.state.Counts(h.now).Reachable, 1)
+	h.submit("other", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 2000}})
+	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 2})
+	silent := h.now
+	for h.lostRuns() == 0 && h.now.Sub(silent) < time.Minute {
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, h.now.Sub(silent) >= testLease && h.now.Sub(silent) < testLease+time.Second, "given up after %v", h.now.Sub(silent))
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -60,8 +60,8 @@
 
 func (e PollFailed) apply(t *transition) {
 	w, ok := t.fleet.get(e.Worker)
-	if !ok {
-		return
+	if !ok || e.Incarnation != 0 && e.Incarnation < w.ReportedIncarnation {
+		return // a later incarnation has been heard since
 	}
 	if w.Reachability == Reachable {
 		t.emit(Decision{What: "silent", Worker: w.ID, Why: "no report"})
--- a/internal/packer/events.go
+++ b/internal/packer/events.go
@@ -35,6 +35,7 @@
 	case e.Failed != nil:
 		w.count(failed)
 		w.name(e.Failed.Worker)
+		w.number(e.Failed.Incarnation)
 		w.number(e.Failed.Deadline)
 	case e.Answer != nil:
 		w.count(answer)
@@ -84,7 +85,7 @@
 		sent := time.Duration(r.number())
 		return delegator.Event{Sent: sent, Report: &delegator.Report{Worker: r.name(), Deadline: r.number(), Report: r.report()}}
 	case failed:
-		return delegator.Event{Failed: &leader.PollFailed{Worker: r.name(), Deadline: r.number()}}
+		return delegator.Event{Failed: &leader.PollFailed{Worker: r.name(), Incarnation: r.number(), Deadline: r.number()}}
 	case answer:
 		return delegator.Event{Answer: &leader.OrderAnswered{
 			Worker: r.name(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(), Outcome: leader.Outcome(r.integer()),
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -46,7 +46,7 @@
 			Running: []leader.RunStatus{{Task: task(1).String(), Number: 1, Checkpoint: "saved", Percent: 30, Measurement: -1}},
 			Ended:   []leader.RunEnd{{Number: 4, Task: task(2).String(), Run: 3, Kind: leader.EndFailed, Checkpoint: "saved"}},
 		}}},
-		{Failed: &leader.PollFailed{Worker: "w1", Deadline: 12}},
+		{Failed: &leader.PollFailed{Worker: "w1", Incarnation: 7, Deadline: 12}},
 		{Answer: &leader.OrderAnswered{Worker: "w1", Kind: leader.OrderStop, Task: task(3), Run: 1, Outcome: leader.StaleRun}},
 	}}
 }
