Keep polling a worker that is listed again

Cause: the new listing started the polling anew and dropped the poll in flight, with the lease deadline that it had carried. The runs were given up by the deadline before it. The delegator did the same for workers of deputies. Change: a worker that is watched already stays with its caller, and the poll in flight goes on. At a new address nothing is acknowledged or renewed before the worker is heard.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -121,9 +121,15 @@
 // Wait returns when no call is in flight.
 func (c *Commander) Wait() { _ = c.group.Wait() }
 
-// Watch starts polling a worker.
+// Watch starts polling a worker, or goes on at a new address. A poll in flight is kept,
+// since its lease deadline has to be reported.
 func (c *Commander) Watch(e leader.StartPolling) {
-	c.Unwatch(leader.StopPolling{Worker: e.Worker})
+	if s, ok := c.state(e.Worker); ok {
+		if s.move(e.Address) {
+			c.Poll(leader.PollNow{Worker: e.Worker})
+		}
+		return
+	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	s := &workerState{address: e.Address, cancel: cancel, orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
@@ -135,6 +141,18 @@
 	})
 }
 
+// move changes the worker's address and reports whether it was another one, where nothing
+// has been heard yet.
+func (s *workerState) move(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.address == address {
+		return false
+	}
+	s.address, s.heardAt = address, time.Time{}
+	return true
+}
+
 // Unwatch stops polling a worker.
 func (c *Commander) Unwatch(e leader.StopPolling) {
 	c.mu.Lock()
@@ -235,7 +253,7 @@
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: to.Deadline})
 		return err
 	}
-	if !s.recordReport(report, sent, wait == 0) {
+	if !s.recordReport(report, to, sent, wait == 0) {
 		report.Running, report.Partial = nil, true
 	}
 	if report.Incarnation != to.Incarnation {
@@ -313,7 +331,7 @@
 
 // recordReport records a report and reports whether its running tasks are to be
 // passed on: if the last ones are old or were asked for.
-func (s *workerState) recordReport(r leader.Report, sent time.Time, asked bool) bool {
+func (s *workerState) recordReport(r leader.Report, from Target, sent time.Time, asked bool) bool {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -324,7 +342,10 @@
 	if full {
 		s.fullReportAt = sent
 	}
-	s.unanswered, s.heardAt = false, now
+	s.unanswered = false
+	if from.Address == s.address {
+		s.heardAt = now
+	}
 	if r.Incarnation != s.incarnation {
 		s.incarnation, s.acked, s.lastEnd, s.leaseDeadline, s.clock = r.Incarnation, 0, 0, 0, 0
 	}
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -196,6 +196,33 @@
 	assert.Equal(t, sink.reports(2)[0].Deadline, int64(0))
 }
 
+// Guards against a task that runs in two places: a worker that was listed again forgot the
+// deadline of the poll in flight, and its runs were given up before their leases ended.
+func TestAWorkerThatIsWatchedAgainKeepsThePollInFlight(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}, hold: 700 * time.Millisecond}
+	c, sink := start(t, w, time.Now)
+	awaitPolls(t, w, 2) // the second waits
+	c.Watch(leader.StartPolling{Worker: "w", Address: "a"})
+	time.Sleep(time.Second)
+	polls, _ := w.seen()
+	assert.Assert(t, polls[1].Deadline > 0)
+	assert.Equal(t, sink.reports(1)[1].Deadline, polls[1].Deadline)
+}
+
+// Guards against a worker at a new address that is taken for the one at the old address:
+// it must not forget ends that it has not reported.
+func TestNothingIsAcknowledgedAtANewAddressBeforeItIsHeard(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}, hold: 300 * time.Millisecond}
+	c, _ := start(t, w, time.Now)
+	awaitPolls(t, w, 2) // the second waits
+	c.Acknowledge(leader.Acknowledge{Worker: "w", Incarnation: 1, Number: 57})
+	c.Watch(leader.StartPolling{Worker: "w", Address: "b"})
+	polls, acked := awaitPolls(t, w, 3)
+	assert.Equal(t, polls[2].Address, "b")
+	assert.Equal(t, polls[2].Deadline, int64(0))
+	assert.Equal(t, acked[2], int64(0))
+}
+
 // A leader that the log does not confirm lets leases lapse: a new leader may
 // wait for that.
 func TestUnconfirmedLeaderRenewsNothing(t *testing.T) {
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -310,12 +310,23 @@
 	}
 }
 
-// Watch starts the polling of a worker.
+// Watch starts the polling of a worker. If it is polled already, the same caller goes on,
+// at the new address if that has changed.
 func (d *Delegator) Watch(e leader.StartPolling) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.release(e.Worker)
-	d.assign(e.Worker, e)
+	a, known := d.workers[e.Worker]
+	if !known {
+		d.assign(e.Worker, e)
+		return
+	}
+	a.watch = e
+	d.workers[e.Worker] = a
+	if a.deputy != nil {
+		a.deputy.put(Command{Watch: &e})
+		return
+	}
+	d.Local.Watch(e)
 }
 
 // Unwatch stops the polling of a worker.
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -29,6 +29,7 @@
 	deadlines []int64
 	orders    []leader.Order
 	held      chan struct{} // if set, orders wait until it is closed
+	cancelled int           // polls that were cancelled
 }
 
 func (w *workers) Order(ctx context.Context, _ commander.Target, o leader.Order) error {
@@ -52,6 +53,9 @@
 	if wait > 0 {
 		select {
 		case <-ctx.Done():
+			w.mu.Lock()
+			w.cancelled++
+			w.mu.Unlock()
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
@@ -109,6 +113,7 @@
 type caller struct {
 	mu      sync.Mutex
 	watched map[string]bool
+	dropped int // workers that were unwatched
 	orders  []leader.Order
 }
 
@@ -125,6 +130,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.watched, e.Worker)
+	c.dropped++
 }
 
 func (c *caller) Poll(leader.PollNow)            {}
@@ -252,6 +258,26 @@
 	}
 }
 
+// Guards against leases that are forgotten when a worker is listed again: whoever calls it
+// goes on, with the poll in flight.
+func TestAWorkerThatIsWatchedAgainStaysWithItsCaller(t *testing.T) {
+	c := newCell(t, 1, "a")
+	c.delegator.Watch(watch("own"))
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "the deputy's worker reports", reported("w"))
+	for range 10 {
+		c.delegator.Watch(watch("own"))
+		c.delegator.Watch(watch("w"))
+		time.Sleep(13 * time.Millisecond)
+	}
+	assert.Equal(t, c.local.dropped, 0)
+	assert.Equal(t, c.local.count(), 1)
+	w := c.workers["a"]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Equal(t, w.cancelled, 0)
+}
+
 // A deputy without workers has no reason to report. It must not count as silent at its
 // first worker because it has not reported for so long: its orders would count as lost.
 func TestIdleDeputiesAreNotSilent(t *testing.T) {
