Start nothing by the listing of an earlier incarnation

A worker that had restarted under its id as one of another kind got work that needs the first kind (review, ROUTE).

Cause: the labels and the room of the last listing were used beside the report of a later incarnation, until the new listing arrived. Change: a worker is open for starts only if its listing is not older than its report, both when runs are placed and when a recorded run is to be started.

--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -284,8 +284,8 @@
 // it can.
 func (t *transition) startObstacle(w Worker, p Placement) string {
 	switch {
-	case !w.Listed || w.Draining || w.Reachability != Reachable:
-		return "the worker left or stopped reporting"
+	case !w.open():
+		return "the worker left, restarted or stopped reporting"
 	case !p.TicketExpiry.IsZero() && t.now.After(p.TicketExpiry):
 		return "the ticket has expired"
 	}
--- a/internal/leader/pool.go
+++ b/internal/leader/pool.go
@@ -14,7 +14,7 @@
 	placer.Candidate
 	service        string
 	labels         []string
-	open           bool // listed, answering and not draining
+	open           bool // as Worker.open
 	excludedUntil  time.Time
 	freeAfterStops ledger.Resources // free capacity after pending stops, less what the pass has claimed
 	preemptible    ledger.Resources // capacity that preemption may free in addition
@@ -33,7 +33,7 @@
 			ID: w.ID, Free: free, Capacity: w.Capacity, Rack: w.Rack, ConsecutiveFailures: w.ConsecutiveFailures, Slowness: w.slowness(),
 			Serving: w.ServingRuns > 0, BestEffort: w.BestEffortRuns > 0,
 		},
-		service: w.Service, labels: w.Labels, open: w.Listed && !w.Draining && w.Reachability == Reachable, excludedUntil: w.ExcludedUntil,
+		service: w.Service, labels: w.Labels, open: w.open(), excludedUntil: w.ExcludedUntil,
 		freeAfterStops: free.Plus(w.UsedByStopping), preemptible: w.UsedByPreemptible,
 		urgent: w.UsedByUrgent, urgentRuns: w.UrgentRuns,
 	}
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -85,6 +85,39 @@
 	assert.Assert(t, h.now.Sub(silent) >= testLease && h.now.Sub(silent) < testLease+time.Second, "given up after %v", h.now.Sub(silent))
 }
 
+// Guards against a task on a worker of another kind: a worker that had restarted under its
+// id was given work by the labels and the room of its earlier incarnation.
+func TestNothingStartsAtARestartedWorkerBeforeItIsListedAgain(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	listing := leader.Listing{ID: "w", Address: "w", Service: "s", Incarnation: 1, Capacity: ledger.Resources{CPU: 8000}, Labels: []string{"b"}}
+	h.apply(leader.Listed{Listing: listing})
+	h.report("w")
+	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
+	h.advance(time.Second)
+	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
+	listing.Incarnation = 2
+	h.apply(leader.Listed{Listing: listing})
+	h.advance(time.Second)
+	assert.Equal(t, h.countOrders(leader.OrderStart), 1)
+}
+
+// Guards against the same for a run that was placed before the restart and waits for its
+// record.
+func TestNoRecordedRunStartsAtARestartedWorkerBeforeItIsListedAgain(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	h.apply(leader.Listed{Listing: leader.Listing{ID: "w", Address: "w", Service: "s", Incarnation: 1, Capacity: ledger.Resources{CPU: 8000}, Labels: []string{"b"}}})
+	h.report("w")
+	h.commitsDelayed = true
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
+	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.commitsDelayed = false
+	for _, batch := range h.delayedBatches {
+		h.apply(leader.Committed{Batch: batch})
+	}
+	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -8,7 +8,7 @@
 	"github.com/endivelock/endivelock/internal/ledger"
 )
 
-// Listing describes a worker as the platform lists it. It is stored as JSON under
+// Listing isCurrent a worker as the platform lists it. It is stored as JSON under
 // the names in the tags.
 type Listing struct {
 	ID          string           `json:"ID"`
@@ -69,6 +69,13 @@
 	batch  int64
 }
 
+// open reports whether the worker may be given tasks: it is listed, answers and does not
+// drain, and the listing is not of an earlier incarnation, which may be of another kind.
+func (w Worker) open() bool {
+	listed := w.Incarnation == 0 || w.ReportedIncarnation <= w.Incarnation
+	return w.Listed && listed && !w.Draining && w.Reachability == Reachable
+}
+
 // Free returns the capacity that is left.
 func (w Worker) Free() ledger.Resources { return w.Capacity.Minus(w.Used) }
 
