Count a job as begun only once a run of it has begun

Cause: a run number counted as a start, also where the worker had refused the run. Change: the progress of a job notes that a run has begun, when that run is over; apart from that, tasks that are placed or done count.

--- a/internal/encoder/progress.go
+++ b/internal/encoder/progress.go
@@ -23,6 +23,9 @@
 	b := make([]byte, 0, 64+taskBytes*tasks)
 	b = append(b, `{"state":`...)
 	b = quoter.Append(b, string(p.State))
+	if p.Began {
+		b = append(b, `,"began":true`...)
+	}
 	if len(p.Rounds) > 0 {
 		b = append(b, `,"rounds":`...)
 		b = appendList(b, p.Rounds, appendRound)
--- a/internal/encoder/progress_test.go
+++ b/internal/encoder/progress_test.go
@@ -28,6 +28,7 @@
 	})
 	return ledger.Progress{
 		State:  rapid.SampledFrom([]ledger.State{ledger.Queued, ledger.Running, ledger.Complete}).Draw(t, "state"),
+		Began:  rapid.Bool().Draw(t, "began"),
 		Rounds: rapid.SliceOfN(round, 0, 3).Draw(t, "rounds"),
 	}
 }
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -319,6 +319,10 @@
 		return
 	}
 	task = task.WithPhase(ledger.Idle).WithCheckpoint(p.Checkpoint).WithCheckpoint(saved)
-	t.setJob(job.WithProgress(job.Progress.WithTask(p.Task, task)))
+	progress := job.Progress.WithTask(p.Task, task)
+	if !p.StartedAt.IsZero() {
+		progress = progress.WithBegan()
+	}
+	t.setJob(job.WithProgress(progress))
 	t.rankSteps(job.Job.ID)
 }
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -242,7 +242,7 @@
 		t.failTask(job, id, task.WithCheckpoint(e.Checkpoint))
 	default:
 		task = task.WithPhase(ledger.Idle).WithCheckpoint(e.Checkpoint)
-		t.setJob(job.WithProgress(job.Progress.WithTask(id, task)))
+		t.setJob(job.WithProgress(job.Progress.WithTask(id, task).WithBegan()))
 		t.rankSteps(id.Job)
 	}
 }
@@ -307,7 +307,7 @@
 // often as its queue allows. The failures of a gang's members are summed.
 func (t *transition) failTask(job ActiveJob, id ledger.TaskID, task ledger.Task) {
 	task = task.WithFailure()
-	job = job.WithProgress(job.Progress.WithTask(id, task))
+	job = job.WithProgress(job.Progress.WithTask(id, task).WithBegan())
 	t.setJob(job)
 	attempts := job.Job.Queue.Attempts
 	if attempts <= 0 {
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -118,6 +118,24 @@
 	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
 }
 
+// Guards against jobs that aren't counted as waiting though nothing of them has begun: a
+// run that the worker refused counted as a start.
+func TestARefusedStartHasNotBegun(t *testing.T) {
+	h := newPacedHarness(t, 1, ledger.Resources{CPU: 2000, Memory: 8000}, passTime)
+	h.refusingWorker = "w00"
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}})
+	h.advance(time.Second)
+	assert.Assert(t, h.countOrders(leader.OrderStart) > 0)
+	assert.Assert(t, !h.records["j"].Begun())
+	h.refusingWorker = ""
+	h.advance(time.Second)
+	assert.Assert(t, h.records["j"].Begun())
+	h.refusingWorker = "w00"
+	h.report("w00", leader.RunEnd{Number: 1, Task: "j.0.0.0", Run: h.records["j"].Task(0, 0, 0).Run, Kind: leader.EndStopped})
+	h.advance(time.Second)
+	assert.Assert(t, h.records["j"].Begun(), "a run that has ended had begun")
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -75,6 +75,7 @@
 // Progress is the progress of a job.
 type Progress struct {
 	State  State   `json:"state"`
+	Began  bool    `json:"began,omitempty"` // a run is known to have begun that is over
 	Rounds []Round `json:"rounds,omitempty"`
 }
 
@@ -202,15 +203,25 @@
 	return true
 }
 
-// Begun reports whether any task was ever started.
+// WithBegan returns the progress of a job of which a run has begun.
+func (p Progress) WithBegan() Progress {
+	p.Began = true
+	return p
+}
+
+// Begun reports whether any task was ever started, or is about to be. A run number alone
+// does not tell: the worker may have refused the run.
 func (p Progress) Begun() bool {
+	if p.Began {
+		return true
+	}
 	for _, r := range p.Rounds {
 		if r.Done {
 			return true
 		}
 		for _, tasks := range r.Tasks {
 			for _, t := range tasks {
-				if t.Run > 0 {
+				if t.Phase != Idle {
 					return true
 				}
 			}
