Bound the occurrences in progress by the record that holds them

Cause: the bound on a job's tasks held for one occurrence only. Occurrences that overlap share a record, which outgrew what the store takes; the leader retried the append until it was replaced, and the next one did the same. Change: an occurrence begins once the progress of all in progress fits into a record. A job that can never fit, since its tasks last or its occurrences are too many, is rejected. TestJobsThatCannotBeScheduledAreInvalid called 3,500 tasks with 10,000 occurrences valid; what is left of the done ones alone takes 140 KB, so that job could not be written either. It is in the list of invalid ones now, and the largest shapes that fit are checked by the size of their records.

--- a/internal/encoder/progress_test.go
+++ b/internal/encoder/progress_test.go
@@ -92,6 +92,32 @@
 	assert.Assert(t, len(v.Name)+len(v.Data) < maxRecordBytes, "%d bytes", len(v.Data))
 }
 
+// The same for scheduled jobs, with as many occurrences in progress as a job may have.
+func TestTheProgressOfOverlappingOccurrencesFitsIntoARecord(t *testing.T) {
+	for _, shape := range []struct{ tasks, steps, rounds int }{{1000, 1, 9}, {1000, 1, ledger.MaxRounds}, {1, 1, ledger.MaxRounds}, {1, ledger.MaxSteps, 1000}, {20, 50, 500}, {ledger.MaxTasks, 1, 10}} {
+		job := ledger.Job{Schedule: &ledger.Schedule{Times: shape.rounds}}
+		tasks := make([]ledger.Task, shape.tasks)
+		for i := range tasks {
+			tasks[i] = ledger.Task{Phase: ledger.Started, Run: 12, Failures: 2, Worker: "i-5f519ce5f95f519ce5", Checkpoint: "0123456789abcdef"}
+		}
+		round := ledger.Round{}
+		for range shape.steps {
+			job.Steps = append(job.Steps, ledger.Step{Count: shape.tasks})
+			round.Tasks = append(round.Tasks, tasks)
+		}
+		assert.NilError(t, job.Validate())
+		p := ledger.Progress{State: ledger.Running, Began: true, Rounds: make([]ledger.Round, shape.rounds)}
+		for i := range p.Rounds {
+			p.Rounds[i] = ledger.Round{Done: true}
+			if i < job.MaxRoundsInProgress() {
+				p.Rounds[i] = round
+			}
+		}
+		v := encoder.Progress("0123456789abcdef", p)
+		assert.Assert(t, len(v.Name)+len(v.Data) < maxRecordBytes, "%+v: %d bytes", shape, len(v.Data))
+	}
+}
+
 func BenchmarkProgress(b *testing.B) {
 	tasks := make([]ledger.Task, 41)
 	for i := range tasks {
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -81,23 +81,29 @@
 	}
 }
 
-// beginDueRounds creates the tasks of the rounds that are due and schedules the
-// next round.
+// beginDueRounds creates the tasks of the rounds that are due, as far as their progress
+// fits into a record, and schedules the next round.
 func (t *transition) beginDueRounds(id ledger.ID) {
 	job, ok := t.active.get(string(id))
 	if !ok || job.Progress.State.Final() {
 		return
 	}
 	t.dueRounds = t.dueRounds.Without(string(id))
+	room := job.Job.MaxRoundsInProgress()
 	for round, r := range job.Progress.Rounds {
-		if r.Done || r.Tasks != nil {
+		if r.Done {
 			continue
 		}
-		if at := job.Job.Due(round); at.After(t.now) {
+		if r.Tasks != nil {
+			room--
+			continue
+		}
+		if at := job.Job.Due(round); at.After(t.now) || room <= 0 {
 			t.dueRounds = t.dueRounds.With(string(id), at.UnixMilli())
 			break
 		}
 		job = job.WithProgress(job.Progress.WithRoundBegun(job.Job, round))
+		room--
 	}
 	t.active.set(string(id), job)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -163,8 +163,27 @@
 	MaxSteps = 1000
 	// MaxRounds bounds the occurrences of a job.
 	MaxRounds = 10_000
+
+	// maxProgressBytes bounds the progress of a job as a record, with room for its name
+	// and its state. taskBytes, stepBytes and roundBytes are the most that a task, a step
+	// and an occurrence add to it, doneBytes what is left of an occurrence that is done.
+	maxProgressBytes = 256<<10 - 100
+	taskBytes        = 74
+	stepBytes        = 3
+	roundBytes       = 12
+	doneBytes        = 14
 )
 
+// MaxRoundsInProgress returns how many occurrences may be in progress at a time so that
+// the progress of all fits into a record.
+func (j Job) MaxRoundsInProgress() int {
+	round := roundBytes + stepBytes*len(j.Steps)
+	for _, s := range j.Steps {
+		round += taskBytes * s.Count
+	}
+	return (maxProgressBytes - doneBytes*(j.Rounds()-1)) / round
+}
+
 // Validate returns why a job can't be scheduled, or nil. A job that is not valid must
 // not be accepted, and a record of one not be used: whoever made room for its tasks
 // could not go on.
@@ -178,15 +197,19 @@
 	if s := j.Schedule; s != nil && (s.Times < 1 || s.Times > MaxRounds || s.Interval < 0) {
 		return fmt.Errorf("a job runs between 1 and %d times at an interval of 0 or more, not %d times at %v", MaxRounds, s.Times, s.Interval)
 	}
-	tasks := 0
+	tasks, lasting := 0, false
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
 			return fmt.Errorf("steps[%d]: %w", i, err)
 		}
+		lasting = lasting || s.LongRunning
 		if tasks += s.Count; tasks > MaxTasks {
 			return fmt.Errorf("steps: %d tasks, at most %d are allowed", tasks, MaxTasks)
 		}
 	}
+	if most := j.MaxRoundsInProgress(); most < 1 || lasting && j.Rounds() > most {
+		return fmt.Errorf("the progress of %d occurrences of %d tasks outgrows a record", j.Rounds(), tasks)
+	}
 	return nil
 }
 
--- a/internal/ledger/validate_test.go
+++ b/internal/ledger/validate_test.go
@@ -25,8 +25,25 @@
 	} {
 		assert.ErrorContains(t, job.Validate(), want)
 	}
-	valid := ledger.Job{Steps: []ledger.Step{{Count: ledger.MaxTasks - 1}, {Count: 1, After: []int{0}}}, Schedule: &ledger.Schedule{Times: ledger.MaxRounds}}
+	most := []ledger.Step{{Count: ledger.MaxTasks - 1}, {Count: 1, After: []int{0}}}
+	valid := ledger.Job{Steps: most, Schedule: &ledger.Schedule{Times: 2}}
 	assert.NilError(t, valid.Validate())
+	valid = ledger.Job{Steps: []ledger.Step{{Count: 1000}}, Schedule: &ledger.Schedule{Times: ledger.MaxRounds}}
+	assert.NilError(t, valid.Validate())
+}
+
+// Guards against an accepted job that stops the cell: the progress of all its occurrences
+// is one record, which must not outgrow what the store takes.
+func TestJobsWhoseProgressOutgrowsARecordAreInvalid(t *testing.T) {
+	for name, job := range map[string]ledger.Job{
+		"lasting":  {Steps: []ledger.Step{{Count: 1000, LongRunning: true}}, Schedule: &ledger.Schedule{Times: 9}},
+		"many":     {Steps: []ledger.Step{{Count: ledger.MaxTasks}}, Schedule: &ledger.Schedule{Times: ledger.MaxRounds}},
+		"lasting2": {Steps: []ledger.Step{{Count: ledger.MaxTasks, LongRunning: true}}, Schedule: &ledger.Schedule{Times: 2}},
+	} {
+		assert.ErrorContains(t, job.Validate(), "outgrows a record", name)
+	}
+	lasting := ledger.Job{Steps: []ledger.Step{{Count: 300, LongRunning: true}}, Schedule: &ledger.Schedule{Times: 9}}
+	assert.NilError(t, lasting.Validate())
 }
 
 func TestProgressOfAnotherJobIsInvalid(t *testing.T) {
