Hand over how long leases last at workers that a leader can't reach

Cause: each leader that took over waited anew, from its own takeover on, for leases that an earlier leader might have renewed: 8 to 11 s. Takeovers that follow each other sooner held the tasks down for as long as they went on, although nobody had renewed anything since the first leader lost the worker. Change: leases at a worker are renewed only once the leader itself has heard it (Renew), so that the leader knows which leases nobody renews in its name, its deputies included. When it resigns, it records for these workers how long leases may still be in force. The next leader counts from when it reads that, unless another claim lies between. After a leader that has crashed, the wait is as long as before.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -100,12 +100,14 @@
 	incarnation   int64
 	acked         int64         // ends up to this number are acknowledged
 	lastEnd       int64         // number of the last end reported
-	ackChanged    chan struct{} // signaled when acked changes
+	ackChanged    chan struct{} // signaled when acked or renewedIn changes
 	clock         int64         // steady clock of the worker, milliseconds
 	clockReadAt   time.Time     // when clock was received
 	heardAt       time.Time     // when the last report arrived
 	leaseDeadline int64         // latest lease deadline sent, on the worker's clock
 	unanswered    bool          // the last poll got no answer
+	silences      int64         // times that a poll got no answer, and 1
+	renewedIn     int64         // silences at which the leader had the leases renewed
 	fullReportAt  time.Time     // when running tasks were last reported
 	cancel        context.CancelFunc
 	orderSlots    chan struct{}
@@ -131,7 +133,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	s := &workerState{address: e.Address, cancel: cancel, orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
+	s := &workerState{address: e.Address, cancel: cancel, silences: 1, orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
 	c.states[e.Worker] = s
 	c.mu.Unlock()
@@ -175,18 +177,37 @@
 		return
 	}
 	s.acked = max(s.acked, e.Number)
+	s.signal()
+}
+
+// Renew has the leases of a worker renewed, unless it has been silent since.
+func (c *Commander) Renew(e leader.Renew) {
+	s, ok := c.state(e.Worker)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Silences == s.silences {
+		s.renewedIn = e.Silences
+		s.signal()
+	}
+}
+
+// signal wakes awaitLeader. The caller holds the lock.
+func (s *workerState) signal() {
 	select {
 	case s.ackChanged <- struct{}{}:
 	default:
 	}
 }
 
-// awaitAcks waits until all ends that the worker has reported are acknowledged,
-// at most for ackWait.
-func (s *workerState) awaitAcks(ctx context.Context) {
+// awaitLeader waits until all ends that the worker has reported are acknowledged and the
+// leader has its leases renewed, at most for ackWait.
+func (s *workerState) awaitLeader(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, ackWait)
 	defer cancel()
-	for ctx.Err() == nil && !s.allAcked() {
+	for ctx.Err() == nil && !s.followed() {
 		select {
 		case <-ctx.Done():
 		case <-s.ackChanged:
@@ -194,10 +215,11 @@
 	}
 }
 
-func (s *workerState) allAcked() bool {
+// followed reports whether the leader has followed up on all that the worker has reported.
+func (s *workerState) followed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.acked >= s.lastEnd
+	return s.acked >= s.lastEnd && s.renewedIn == s.silences
 }
 
 func (c *Commander) state(worker string) (*workerState, bool) {
@@ -230,7 +252,7 @@
 		}
 		wait = pollWait
 		timer.Sleep(ctx, pollPause)
-		s.awaitAcks(ctx)
+		s.awaitLeader(ctx)
 	}
 }
 
@@ -253,13 +275,14 @@
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: to.Deadline})
 		return err
 	}
-	if !s.recordReport(report, to, sent, wait == 0) {
+	full, silences := s.recordReport(report, to, sent, wait == 0)
+	if !full {
 		report.Running, report.Partial = nil, true
 	}
 	if report.Incarnation != to.Incarnation {
 		to.Deadline = 0 // on the clock of another incarnation
 	}
-	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: sent, Deadline: to.Deadline})
+	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: sent, Deadline: to.Deadline, Silences: silences})
 	return nil
 }
 
@@ -289,12 +312,13 @@
 }
 
 // renewedTarget returns the target of a call that renews leases. Leases are renewed once
-// the worker's clock is known, and as long as the worker answers and the log confirms the
-// leader: the leases of a silent worker must be able to lapse. The caller holds the lock
-// of the worker's state.
+// the leader has heard the worker, and as long as the worker answers and the log confirms
+// the leader: the leases of a silent worker must be able to lapse, and whoever leads next
+// may rely on what this leader knows of them. The caller holds the lock of the worker's
+// state.
 func (c *Commander) renewedTarget(worker string, s *workerState, now time.Time) Target {
 	to := c.target(worker, s)
-	if !s.clockReadAt.IsZero() && !s.unanswered && c.permitted(now) {
+	if !s.clockReadAt.IsZero() && !s.unanswered && s.renewedIn == s.silences && c.permitted(now) {
 		s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
 		to.Deadline = s.leaseDeadline
 	}
@@ -327,16 +351,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
+	s.silences++
 }
 
-// recordReport records a report and reports whether its running tasks are to be
-// passed on: if the last ones are old or were asked for.
-func (s *workerState) recordReport(r leader.Report, from Target, sent time.Time, asked bool) bool {
+// recordReport records a report. It reports whether its running tasks are to be passed
+// on: if the last ones are old or were asked for. The number is that of the silences if the
+// leader has to have the leases renewed.
+func (s *workerState) recordReport(r leader.Report, from Target, sent time.Time, asked bool) (bool, int64) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Incarnation < s.incarnation {
-		return true
+		return true, 0
 	}
 	full := asked || r.Incarnation != s.incarnation || sent.Sub(s.fullReportAt) >= fullReportInterval
 	if full {
@@ -355,7 +381,10 @@
 	if r.Clock >= s.clock {
 		s.clock, s.clockReadAt = r.Clock, now
 	}
-	return full
+	if s.renewedIn == s.silences {
+		return full, 0
+	}
+	return full, s.silences
 }
 
 // Order sends an order and submits its outcome. Orders beyond
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -63,13 +63,17 @@
 
 // events records the events of the commander.
 type events struct {
-	mu  sync.Mutex
-	all []leader.Event
+	mu    sync.Mutex
+	all   []leader.Event
+	renew func(leader.Renew) // answers reports, as a leader does; nil for one that does not follow up
 }
 
 func (e *events) Submit(_ int64, event leader.Event) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if r, ok := event.(leader.Reported); ok && r.Silences != 0 && e.renew != nil {
+		e.renew(leader.Renew{Worker: r.Worker, Silences: r.Silences})
+	}
 	e.all = append(e.all, event)
 }
 
@@ -106,6 +110,7 @@
 		Workers: w, Sink: sink, Logger: logger, Epoch: 7, Lease: 6 * time.Second, Renewal: time.Second, LastConfirmed: confirmed,
 		Polls: metrics.NewTimer(), Orders: metrics.NewTimer(),
 	}
+	sink.renew = c.Renew
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Start(ctx)
 	t.Cleanup(func() {
@@ -223,6 +228,34 @@
 	assert.Equal(t, acked[2], int64(0))
 }
 
+// A leader that has not heard a worker tells the next one how long its leases may last, so
+// they must not be renewed before the leader has had them renewed, nor after a silence that
+// it has not heard of yet.
+func TestLeasesAreRenewedOnceTheLeaderHasHeardTheWorker(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}
+	c, sink := start(t, w, time.Now)
+	awaitPolls(t, w, 3)
+	sink.mu.Lock()
+	sink.renew = nil
+	sink.mu.Unlock()
+	w.set(leader.Report{}, &classifier.Error{Kind: classifier.Unanswered})
+	awaitPolls(t, w, 2)
+	w.set(leader.Report{Incarnation: 1, Clock: 2000}, nil)
+	polls, _ := awaitPolls(t, w, 3)
+	for _, to := range polls {
+		assert.Equal(t, to.Deadline, int64(0))
+	}
+	c.Renew(leader.Renew{Worker: "w", Silences: 1})
+	w.set(leader.Report{Incarnation: 1, Clock: 3000}, nil)
+	polls, _ = awaitPolls(t, w, 2)
+	assert.Equal(t, polls[1].Deadline, int64(0), "there was a silence since")
+	reports := sink.reports(1)
+	c.Renew(leader.Renew{Worker: "w", Silences: reports[len(reports)-1].Silences})
+	w.set(leader.Report{Incarnation: 1, Clock: 4000}, nil)
+	polls, _ = awaitPolls(t, w, 2)
+	assert.Assert(t, polls[1].Deadline > 4000)
+}
+
 // A leader that the log does not confirm lets leases lapse: a new leader may
 // wait for that.
 func TestUnconfirmedLeaderRenewsNothing(t *testing.T) {
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -58,6 +58,8 @@
 	Unwatch(e leader.StopPolling)
 	// Poll polls a worker at once.
 	Poll(e leader.PollNow)
+	// Renew has the leases of a worker renewed with the next polls.
+	Renew(e leader.Renew)
 	// Acknowledge lets a worker forget ended runs with the next poll.
 	Acknowledge(e leader.Acknowledge)
 	// Order sends an order to a worker.
@@ -362,6 +364,16 @@
 	d.Local.Poll(e)
 }
 
+// Renew has the leases of a worker renewed with the next polls.
+func (d *Delegator) Renew(e leader.Renew) {
+	if p := d.lockDeputy(e.Worker); p != nil {
+		defer d.mu.Unlock()
+		p.put(Command{Renew: &e})
+		return
+	}
+	d.Local.Renew(e)
+}
+
 // Acknowledge lets a worker forget ended runs with the next poll.
 func (d *Delegator) Acknowledge(e leader.Acknowledge) {
 	if p := d.lockDeputy(e.Worker); p != nil {
@@ -432,7 +444,7 @@
 func (e Event) since(began time.Time) leader.Event {
 	switch {
 	case e.Report != nil:
-		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline}
+		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Silences: e.Report.Silences}
 	case e.Failed != nil:
 		return *e.Failed
 	case e.Answer != nil:
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -82,6 +82,7 @@
 type sink struct {
 	mu     sync.Mutex
 	events []leader.Event
+	renew  func(leader.Renew) // as a leader answers reports
 }
 
 func (s *sink) Submit(_ int64, e leader.Event) {
@@ -89,6 +90,11 @@
 	defer s.mu.Unlock()
 	if b, ok := e.(leader.Batch); ok {
 		s.events = append(s.events, b.Events...)
+		for _, event := range b.Events {
+			if r, ok := event.(leader.Reported); ok && r.Silences != 0 {
+				s.renew(leader.Renew{Worker: r.Worker, Silences: r.Silences})
+			}
+		}
 		return
 	}
 	s.events = append(s.events, e)
@@ -135,6 +141,7 @@
 
 func (c *caller) Poll(leader.PollNow)            {}
 func (c *caller) Acknowledge(leader.Acknowledge) {}
+func (c *caller) Renew(leader.Renew)             {}
 
 func (c *caller) Order(o leader.Order) {
 	c.mu.Lock()
@@ -218,6 +225,7 @@
 		},
 	}
 	c.delegator.Start(ctx)
+	c.sink.renew = c.delegator.Renew
 	var entries []delegator.Entry
 	for _, name := range deputies {
 		w := &workers{}
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -130,6 +130,8 @@
 		s.commander.Unwatch(leader.StopPolling{Worker: c.Unwatch})
 	case c.Poll != "":
 		s.commander.Poll(leader.PollNow{Worker: c.Poll})
+	case c.Renew != nil:
+		s.commander.Renew(*c.Renew)
 	case c.Ack != nil:
 		s.commander.Acknowledge(*c.Ack)
 	case c.Order != nil:
@@ -143,7 +145,7 @@
 	switch f := event.(type) {
 	case leader.Reported:
 		e.Sent = f.Sent.Sub(s.began)
-		e.Report = &Report{Worker: f.Worker, Report: f.Report, Deadline: f.Deadline}
+		e.Report = &Report{Worker: f.Worker, Report: f.Report, Deadline: f.Deadline, Silences: f.Silences}
 	case leader.PollFailed:
 		e.Failed = &f
 	case leader.OrderAnswered:
--- a/internal/commands/delegator/messages.go
+++ b/internal/commands/delegator/messages.go
@@ -11,6 +11,7 @@
 	Watch   *leader.StartPolling
 	Unwatch string
 	Poll    string
+	Renew   *leader.Renew
 	Ack     *leader.Acknowledge
 	Order   *leader.Order
 }
@@ -36,6 +37,7 @@
 	Worker   string
 	Report   leader.Report
 	Deadline int64 // as in leader.Reported
+	Silences int64 // as in leader.Reported
 }
 
 // Events is a batch of events from a deputy.
--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -264,9 +264,14 @@
 	return true
 }
 
-// Resign records that this leader has stopped. Call it after Serve has returned.
-func (r *Recorder) Resign(ctx context.Context) {
+// Resign records that this leader has stopped, and how long leases may be in force at
+// workers that it could not reach. Call it after Serve has returned.
+func (r *Recorder) Resign(ctx context.Context, leases map[string]time.Duration) {
 	lead := r.Lead
+	lead.Leases = make(map[string]int64, len(leases))
+	for id, left := range leases {
+		lead.Leases[id] = (left + time.Millisecond - 1).Milliseconds()
+	}
 	lead.Name, lead.Address = "", ""
 	lead.Heartbeats++
 	v, err := encoder.Leader(lead)
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -219,7 +219,7 @@
 		bounded, cancel := context.WithTimeout(e.ctx, resignTimeout)
 		defer cancel()
 		if r.Graceful {
-			c.recorder.Resign(bounded)
+			c.recorder.Resign(bounded, r.Leases)
 		}
 		e.linker.Resign(bounded, r.Epoch)
 		if r.Graceful {
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -67,6 +67,8 @@
 		c.delegator.Unwatch(f)
 	case leader.PollNow:
 		c.delegator.Poll(f)
+	case leader.Renew:
+		c.delegator.Renew(f)
 	case leader.Acknowledge:
 		c.delegator.Acknowledge(f)
 	case leader.RequestAdvice:
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -133,6 +133,7 @@
 // which means written before this entry started, do not count as heartbeats.
 func (t *transition) applyRunChange(c RunChange, old bool) {
 	if c.Claim {
+		t.claims = t.claims.with(c.Offset)
 		if !old {
 			t.lastClaim, t.claimOffset = t.now, c.Offset
 		}
@@ -157,6 +158,7 @@
 		t.replica = t.replica.withoutLink(t.now)
 	}
 	t.State.lead = *c.Lead
+	t.handover = newHandover(*c.Lead, c.Offset, t.now)
 	if c.Lead.Epoch > t.claimOffset {
 		t.lastClaim = time.Time{} // the claim is decided: an epoch is the offset after its claim
 	}
@@ -329,7 +331,7 @@
 	t.role, t.leadingSince = Leading, t.now
 	t.maxPeerShare = t.Self.CPUShare // peers report theirs when they link
 	t.State.lead = LeaderRecord{Epoch: e.Epoch, Name: t.Self.Name, Address: t.Self.Address}
-	t.leader = leader.New(policy, t.now)
+	t.leader = leader.New(policy, t.now).WithInheritedLeases(t.handover.leasesFor(e.Epoch-1, t.claims))
 	t.emit(LogLeadership{What: "lead", Lead: t.State.lead, Why: "the claim succeeded"})
 	t.emit(StartLeading(e))
 	for id, job := range t.jobs.All() {
@@ -359,7 +361,11 @@
 // resign makes the entry a follower. The runs are read again from the start,
 // since the entry does not know which of its last records are in the log.
 func (t *transition) resign(graceful bool) {
-	t.emit(Resign{Epoch: t.State.lead.Epoch, Graceful: graceful})
+	resigned := Resign{Epoch: t.State.lead.Epoch, Graceful: graceful}
+	if graceful {
+		resigned.Leases = t.leader.SilentLeases(t.now)
+	}
+	t.emit(resigned)
 	t.role, t.lastHeartbeat, t.leader = Following, t.now, leader.State{}
 	t.offsets = t.offsets.Without(Runs)
 	t.lastRead = time.Time{}
--- a/internal/keeper/effects.go
+++ b/internal/keeper/effects.go
@@ -26,7 +26,8 @@
 // Resign stops the services of a leader.
 type Resign struct {
 	Epoch    int64
-	Graceful bool // record the resignation in the log
+	Graceful bool                     // record the resignation in the log
+	Leases   map[string]time.Duration // as in leader.State.SilentLeases, if Graceful
 }
 
 // LeaderEffect wraps an effect of package leader.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,6 +34,9 @@
 	// Standbys names the entries that replicate the streams in order to take over. Only
 	// the stream of leaders has it.
 	Standbys []string `json:"standbys,omitempty"`
+	// Leases says, in the stream of runs, how long leases may be in force at the workers that
+	// a leader that has resigned could not reach, in milliseconds since it resigned.
+	Leases map[string]int64 `json:"leases,omitempty"`
 }
 
 // Role is the role of an entry in leader election.
@@ -97,6 +100,8 @@
 	lastJobsRead  time.Time // last successful read of the jobs
 	lastClaim     time.Time // when another entry's claim was read, zero if it is decided
 	claimOffset   int64     // offset of that claim
+	handover      handover
+	claims        claims
 	linkLost      bool
 	// leaderUnreachable means that no process answers at the leader's address,
 	// leaderSteppedDown that it is known not to lead any more.
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -54,6 +54,13 @@
 // PollNow polls a worker immediately.
 type PollNow struct{ Worker string }
 
+// Renew has whoever polls a worker renew the leases there, until a poll fails. Silences is
+// that of the report that the worker was heard with; a later silence cancels it.
+type Renew struct {
+	Worker   string
+	Silences int64
+}
+
 // Acknowledge lets a worker forget its ends up to a number. It applies to one
 // incarnation of the worker.
 type Acknowledge struct {
@@ -90,6 +97,7 @@
 func (StartPolling) effect()  {}
 func (StopPolling) effect()   {}
 func (PollNow) effect()       {}
+func (Renew) effect()         {}
 func (Acknowledge) effect()   {}
 func (RequestAdvice) effect() {}
 func (Wake) effect()          {}
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -72,6 +72,7 @@
 	Report   Report
 	Sent     time.Time // when the worker was polled, by the clock of OrderAnswered.At
 	Deadline int64     // end of the lease sent with the poll, on the worker's clock, in milliseconds
+	Silences int64     // set while whoever polled renews no leases before a Renew with this number
 }
 
 // PollFailed reports that a worker was polled and no report arrived.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -39,9 +39,13 @@
 
 // State is the immutable control state of a leader. New returns the initial one.
 type State struct {
-	policy         Policy
-	leadingSince   time.Time // time of this leader's takeover
-	batch          int64     // number of the last batch of log records
+	policy       Policy
+	leadingSince time.Time // time of this leader's takeover
+
+	// inheritedLeases bounds the leases at workers that the leader before did not renew.
+	inheritedLeases map[string]time.Time
+
+	batch          int64 // number of the last batch of log records
 	jobs           container.Table[ActiveJob]
 	waiting        container.Ranking          // steps with idle tasks that may start, by urgency
 	readySince     container.Table[time.Time] // when each waiting step became startable
@@ -83,6 +87,27 @@
 	return State{policy: p, leadingSince: now}
 }
 
+// WithInheritedLeases returns the state of a leader that takes over from one that has
+// resigned, with the times until which leases may be in force at the workers that the
+// earlier one named in SilentLeases. The map must not be changed any more.
+func (s State) WithInheritedLeases(until map[string]time.Time) State {
+	s.inheritedLeases = until
+	return s
+}
+
+// SilentLeases returns, for each worker with runs whose leases this leader doesn't renew,
+// how long leases may still be in force there. It holds for whoever leads next, unless
+// this leader goes on.
+func (s State) SilentLeases(now time.Time) map[string]time.Duration {
+	silent := map[string]time.Duration{}
+	for id, w := range s.workers.All() {
+		if !w.Renewed && w.Reachability != Reachable && w.Placements.Len() > 0 {
+			silent[id] = max(0, w.leaseExpiry(s).Sub(now))
+		}
+	}
+	return silent
+}
+
 // ActiveJob is a job that has not ended, or that has ended while some of its runs
 // have not.
 type ActiveJob struct {
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -49,7 +49,7 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.running), 800)
 	h.submit("j", ledger.Queue{Priority: 2}, ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
-	h.advanceBy(passTime, 3*time.Second)
+	h.advance(3 * time.Second) // passes that are further apart than the pauses of steps without room
 	assert.Equal(t, len(h.running), 802)
 }
 
@@ -60,7 +60,8 @@
 	workers int
 	share   int // percentage of the workers that may run a step
 	jobs    map[ledger.ID]ledger.Job
-	began   map[string]time.Time // by task
+	began   map[string]time.Time    // by task
+	active  map[ledger.ID]time.Time // when a run of a job was last there
 	done    map[string]bool
 }
 
@@ -83,7 +84,9 @@
 			if _, seen := c.began[task]; !seen {
 				c.began[task] = c.now
 			}
-			if id, _ := ledger.ParseTaskID(task); c.now.Sub(c.began[task]) >= shortRun && !c.jobs[id.Job].Steps[id.Step].LongRunning {
+			id, _ := ledger.ParseTaskID(task)
+			c.active[id.Job] = c.now
+			if c.now.Sub(c.began[task]) >= shortRun && !c.jobs[id.Job].Steps[id.Step].LongRunning {
 				c.ended[at]++
 				ends[at] = append(ends[at], leader.RunEnd{Number: c.ended[at], Task: task, Run: 1, Kind: leader.EndDone})
 			}
@@ -108,9 +111,15 @@
 	return float64(used.CPU) / float64(c.room.CPU*int64(c.workers))
 }
 
-// startable returns a step that has idle tasks and fits, though it has not started.
+// stillTime is how long nothing of a job may run while a task fits.
+const stillTime = 3 * time.Second
+
+// startable returns a step that has idle tasks and fits, though nothing of its job runs.
 func (c *calmCell) startable() string {
 	for id, job := range c.jobs {
+		if c.now.Sub(c.active[id]) < stillTime {
+			continue
+		}
 		step := job.Steps[0]
 		free := map[string]ledger.Resources{}
 		here := map[string]int{}
@@ -157,7 +166,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		c := &calmCell{
 			room: ledger.Resources{CPU: 8000, Memory: 1 << 40}, workers: rapid.IntRange(4, 24).Draw(rt, "workers"), share: rapid.IntRange(20, 90).Draw(rt, "share"),
-			jobs: map[ledger.ID]ledger.Job{}, began: map[string]time.Time{}, done: map[string]bool{},
+			jobs: map[ledger.ID]ledger.Job{}, began: map[string]time.Time{}, active: map[ledger.ID]time.Time{}, done: map[string]bool{},
 		}
 		c.harness = newPacedHarness(t, c.workers, c.room, passTime)
 		c.harness.permits = c.permits
@@ -180,7 +189,7 @@
 		}
 		for c.pass(time.Second); c.inUse() >= 0.5; c.pass(time.Second) {
 		}
-		c.pass(3 * time.Second)
+		c.pass(stillTime)
 		if found := c.startable(); found != "" && c.inUse() < 0.5 {
 			rt.Fatal(found)
 		}
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -140,6 +140,11 @@
 				sm.takeover()
 			}
 		},
+		"handover": func(*rapid.T) {
+			if pick(3) == 0 {
+				sm.handover()
+			}
+		},
 		"time": func(*rapid.T) { sm.advance(time.Duration(1+pick(20)) * 100 * time.Millisecond) },
 		"advise": func(*rapid.T) {
 			if len(sm.adviceCalls) > 0 {
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -136,6 +136,30 @@
 	assert.Assert(t, h.records["j"].Begun(), "a run that has ended had begun")
 }
 
+// Guards against lasting tasks that stay down through a rolling stop: each leader waited
+// anew for leases that nobody had renewed since the first one lost the worker.
+func TestALeaderThatResignsHandsOnHowLongLeasesLast(t *testing.T) {
+	first := startedRun(t)
+	first.report("w00")
+	first.apply(leader.PollFailed{Worker: "w00"})
+	silent := first.now
+	first.advance(2 * time.Second)
+	left := first.state.SilentLeases(first.now)
+	assert.Assert(t, left["w00"] > 4*time.Second && left["w00"] < 4500*time.Millisecond, "%v", left)
+
+	next := newHarness(t, 0, ledger.Resources{})
+	next.now = first.now
+	next.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}, next.now).
+		WithInheritedLeases(map[string]time.Time{"w00": next.now.Add(left["w00"])})
+	progress := first.records["j"]
+	job := ledger.Job{ID: "j", Queue: ledger.Queue{Service: "s", Priority: 1}, Steps: []ledger.Step{{Count: 1, Request: ledger.Resources{CPU: 1000}}}}
+	next.apply(leader.Accepted{Job: job, Progress: &progress})
+	for next.lostRuns() == 0 && next.now.Sub(silent) < time.Minute {
+		next.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, next.now.Sub(silent) >= testLease && next.now.Sub(silent) < testLease+time.Second, "given up after %v", next.now.Sub(silent))
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -67,7 +67,7 @@
 		t.emit(Decision{What: "silent", Worker: w.ID, Why: "no report"})
 	}
 	w = w.WithReachability(Unreachable)
-	w.LeaseDeadline = max(w.LeaseDeadline, e.Deadline)
+	w.LeaseDeadline, w.Renewed = max(w.LeaseDeadline, e.Deadline), false
 	t.setWorker(w)
 	t.expireLeases(w)
 }
@@ -120,6 +120,9 @@
 	}
 	w = w.WithReport(e.Report, e.Deadline, t.policy.Lease, t.now)
 	t.setWorker(w)
+	if e.Silences != 0 {
+		t.emit(Renew{Worker: w.ID, Silences: e.Silences})
+	}
 	t.handleEnds(w, e.Report)
 	if !outdated && !e.Report.Partial {
 		t.loseAbsent(w.ID, e, t.handleRunning(w.ID, e), restarted)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -106,6 +106,7 @@
 	orders         []sentOrder
 	adviceCalls    []leader.RequestAdvice
 	acked          map[string]leader.Acknowledge
+	renewed        map[string]bool // workers whose leases each poll renews
 	workers        map[string]*simWorker
 	endedDone      map[string]bool // tasks with a run that ended as done
 	doneForgotten  map[string]bool // tasks whose end as done was acknowledged and forgotten by the worker
@@ -177,9 +178,22 @@
 
 // takeover replaces the leader by one that knows only the log. Orders of the old
 // leader remain in transit; its uncommitted records are lost.
-func (sm *simulation) takeover() {
+func (sm *simulation) takeover() { sm.takeoverWith(nil) }
+
+// handover replaces the leader by one that is told of the leases that it doesn't renew.
+func (sm *simulation) handover() {
+	sm.release()
+	until := map[string]time.Time{}
+	for id, left := range sm.state.SilentLeases(sm.now) {
+		until[id] = sm.now.Add(left)
+	}
+	sm.takeoverWith(until)
+}
+
+func (sm *simulation) takeoverWith(leases map[string]time.Time) {
 	sm.epoch++
-	sm.state = leader.New(sm.policy(), sm.now)
+	sm.state = leader.New(sm.policy(), sm.now).WithInheritedLeases(leases)
+	sm.renewed = map[string]bool{}
 	sm.records, sm.adviceCalls, sm.acked, sm.wakePending, sm.held = nil, nil, map[string]leader.Acknowledge{}, false, nil
 	for _, id := range sm.jobIDs() {
 		e := leader.Accepted{Job: sm.jobs[id]}
@@ -234,6 +248,8 @@
 			sm.orders = append(sm.orders, sentOrder{f, sm.epoch, sm.now.Add(testLease)})
 		case leader.Acknowledge:
 			sm.acked[f.Worker] = f
+		case leader.Renew:
+			sm.renewed[f.Worker] = true
 		case leader.RequestAdvice:
 			sm.adviceCalls = append(sm.adviceCalls, f)
 		case leader.Wake:
@@ -359,14 +375,21 @@
 // poll polls a worker, which renews its leases and reports.
 func (sm *simulation) poll(id string, answered bool) {
 	target := sm.workers[id]
+	renewed, deadline := sm.renewed[id], int64(0)
+	if renewed {
+		deadline = sm.clock() + testLease.Milliseconds()
+	}
 	if target.partitioned || !answered {
-		sm.apply(leader.PollFailed{Worker: id, Deadline: sm.clock() + testLease.Milliseconds()})
+		delete(sm.renewed, id)
+		sm.apply(leader.PollFailed{Worker: id, Deadline: deadline})
 		if target.partitioned {
 			return
 		}
 	}
 	target.fence = max(target.fence, sm.epoch)
-	target.leaseEnd = later(target.leaseEnd, sm.now.Add(testLease))
+	if renewed {
+		target.leaseEnd = later(target.leaseEnd, sm.now.Add(testLease))
+	}
 	if a, ok := sm.acked[id]; ok && a.Incarnation == target.incarnation {
 		sm.forgetEnds(target, a.Number)
 	}
@@ -382,7 +405,11 @@
 	if sm.partial {
 		r.Partial, r.Running = true, nil
 	}
-	sm.apply(leader.Reported{Worker: id, Report: r, Sent: sm.now, Deadline: sm.clock() + testLease.Milliseconds()})
+	reported := leader.Reported{Worker: id, Report: r, Sent: sm.now, Deadline: deadline}
+	if !renewed {
+		reported.Silences = 1
+	}
+	sm.apply(reported)
 }
 
 func sortedKeys(m map[string]simRun) []string {
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -43,6 +43,7 @@
 	ReportedAt          time.Time // when the last report arrived
 	ReportedClock       int64     // monotonic clock of the worker in that report, in milliseconds
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
+	Renewed             bool      // its leases may be renewed: it has been heard and no poll has failed since
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
@@ -159,7 +160,7 @@
 	if r.Clock >= w.ReportedClock {
 		w.ReportedAt, w.ReportedClock = now, r.Clock
 	}
-	w.LeaseDeadline = max(w.LeaseDeadline, deadline)
+	w.LeaseDeadline, w.Renewed = max(w.LeaseDeadline, deadline), true
 	return w
 }
 
@@ -193,6 +194,9 @@
 // because its leases have expired, allowing for clock drift.
 func (w Worker) leaseExpiry(s State) time.Time {
 	expiry := s.leadingSince.Add(s.unknownLease())
+	if until, known := s.inheritedLeases[w.ID]; known && until.Before(expiry) {
+		expiry = until
+	}
 	if !w.ReportedAt.IsZero() {
 		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
 		expiry = w.ReportedAt.Add(onSlowestClock(max(left, 0)))
--- a/internal/packer/commands.go
+++ b/internal/packer/commands.go
@@ -14,6 +14,7 @@
 	poll
 	acknowledge
 	order
+	renew
 )
 
 // Commands packs a batch of commands.
@@ -39,6 +40,10 @@
 	case c.Poll != "":
 		w.count(poll)
 		w.name(c.Poll)
+	case c.Renew != nil:
+		w.count(renew)
+		w.name(c.Renew.Worker)
+		w.number(c.Renew.Silences)
 	case c.Ack != nil:
 		w.count(acknowledge)
 		w.name(c.Ack.Worker)
@@ -80,6 +85,8 @@
 		return delegator.Command{Poll: r.worker()}
 	case acknowledge:
 		return delegator.Command{Ack: &leader.Acknowledge{Worker: r.name(), Incarnation: r.number(), Number: r.number()}}
+	case renew:
+		return delegator.Command{Renew: &leader.Renew{Worker: r.name(), Silences: r.number()}}
 	case order:
 		return delegator.Command{Order: r.order()}
 	}
--- a/internal/packer/events.go
+++ b/internal/packer/events.go
@@ -31,6 +31,7 @@
 		w.number(int64(e.Sent))
 		w.name(e.Report.Worker)
 		w.number(e.Report.Deadline)
+		w.number(e.Report.Silences)
 		w.report(e.Report.Report)
 	case e.Failed != nil:
 		w.count(failed)
@@ -83,7 +84,7 @@
 	switch r.unsigned() {
 	case report:
 		sent := time.Duration(r.number())
-		return delegator.Event{Sent: sent, Report: &delegator.Report{Worker: r.name(), Deadline: r.number(), Report: r.report()}}
+		return delegator.Event{Sent: sent, Report: &delegator.Report{Worker: r.name(), Deadline: r.number(), Silences: r.number(), Report: r.report()}}
 	case failed:
 		return delegator.Event{Failed: &leader.PollFailed{Worker: r.name(), Incarnation: r.number(), Deadline: r.number()}}
 	case answer:
