Use a link to the leader from the moment that it is said to be made

TestWritesThroughTheLeaderPreserveTheErrorKind failed once, in a run of all tests with -race: 'no link to the leader' right after the link was made.

Cause: the link was reported before it was stored, so that an entry could turn jobs away in between. Change: it is stored first. Result: TestALinkCanBeUsedOnceItIsSaidToBeMade failed before and passes now; the linker passes with -race, twice. 40 runs of the test that had failed passed before the change.

--- a/internal/linker/callers_test.go
+++ b/internal/linker/callers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/replicator"
 )
 
 // slowSink holds the first set of callers up for a while, as a scheduling delay does.
@@ -37,6 +38,30 @@
 	s.entry.Submit(e)
 }
 
+// writingSink writes through the leader as soon as the link is said to be made.
+type writingSink struct {
+	*entry
+	wrote chan error
+}
+
+func (s *writingSink) Submit(e keeper.Event) {
+	s.entry.Submit(e)
+	if _, ok := e.(keeper.LinkEstablished); ok {
+		s.wrote <- s.link.Add(context.Background(), replicator.Value{Name: "k"})
+	}
+}
+
+// Guards against jobs that an entry turns away right after it has linked: the link was
+// said to be made before it could be used.
+func TestALinkCanBeUsedOnceItIsSaidToBeMade(t *testing.T) {
+	lead, other := start(t, "lead"), start(t, "other")
+	lead.becomeLeader(9)
+	sink := &writingSink{entry: other, wrote: make(chan error, 1)}
+	other.link.Sink = sink
+	other.Submit(keeper.LeaderLearned{Lead: lead.Snapshot().Lead(), From: "test"})
+	assert.NilError(t, <-sink.wrote)
+}
+
 // Guards against a leader that goes on with too few callers for advice: a set of callers
 // that was held up replaced the newer one.
 func TestAnOlderSetOfCallersDoesNotArriveLast(t *testing.T) {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -360,11 +360,11 @@
 	l.mu.Lock()
 	l.known = 0 // the versions of another leader say nothing
 	l.mu.Unlock()
+	l.setLeader(rpc)
+	defer l.setLeader(nil)
 	l.Sink.Submit(keeper.LinkEstablished{Epoch: lead.Epoch})
 	l.Sink.Submit(keeper.StandbysLearned{Epoch: lead.Epoch, Standby: answer.Standby})
 	l.Logger.WithFields(logrus.Fields{"peer": lead.Name, "epoch": lead.Epoch}).Info("linked to the leader")
-	l.setLeader(rpc)
-	defer l.setLeader(nil)
 	var group errgroup.Group
 	group.Go(func() error {
 		l.watchLead(ctx, lead, cancel)
