Ask for no advice on gangs that fit no empty workers

Cause: such a gang asked for tickets anew whenever the last ones were half spent. Thirty of them at the head of the ranking took all callers for long calls, for good. Change: a gang is asked about only if it fits at the workers that are not known to be denied, if these were empty. One that fits only then still asks: what else runs there makes way in time. Result: TestGangsThatDoNotFitHoldUpNoOthers had nothing running after 5 s (and after 30 s) before, and passes now; the leader's tests pass.

--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -30,6 +30,13 @@
 	refusingWorker string  // a worker that refuses starts
 	percent        int     // progress reported for each run
 	adviceDelayed  bool    // advice calls are not answered
+	unanswered     []unanswered
+}
+
+// unanswered is an advice call that has not been answered.
+type unanswered struct {
+	at   time.Time
+	call leader.RequestAdvice
 }
 
 func newHarness(t *testing.T, workers int, room ledger.Resources) *harness {
@@ -83,9 +90,11 @@
 			}
 		case leader.RequestAdvice:
 			h.queried = append(h.queried, f.Workers)
-			if !h.adviceDelayed {
-				h.answerAdvice(f)
+			if h.adviceDelayed {
+				h.unanswered = append(h.unanswered, unanswered{h.now, f})
+				continue
 			}
+			h.answerAdvice(f)
 		}
 	}
 }
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -195,3 +195,34 @@
 		}
 	})
 }
+
+// Guards against the same where calls for advice are slow: gangs too large for the workers
+// that they may run on asked for tickets anew all the time and took all callers.
+func TestGangsThatDoNotFitHoldUpNoOthers(t *testing.T) {
+	h := newHarness(t, 24, ledger.Resources{CPU: 8000, Memory: 64000})
+	for i := range 8 {
+		h.permitted[fmt.Sprintf("w%02d", i)] = true
+	}
+	h.adviceDelayed = true
+	slow := advised("batch", 2)
+	slow.Advice.PerCall = 500 * time.Millisecond
+	for i := range 30 {
+		h.submit(ledger.ID(fmt.Sprintf("gang%d", i)), slow, ledger.Step{Count: 100, Gang: true, Request: ledger.Resources{CPU: 1000}})
+	}
+	h.answerAfter(slow.Advice.PerCall, 20*time.Second)
+	h.submit("j", slow, ledger.Step{Count: 2, Request: ledger.Resources{CPU: 1000}})
+	h.answerAfter(slow.Advice.PerCall, 5*time.Second)
+	assert.Equal(t, len(h.running), 2)
+}
+
+// answerAfter lets time pass and answers each advice call after a delay.
+func (h *harness) answerAfter(delay, d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advanceBy(passTime, passTime)
+		for len(h.unanswered) > 0 && h.now.Sub(h.unanswered[0].at) >= delay {
+			call := h.unanswered[0].call
+			h.unanswered = h.unanswered[1:]
+			h.answerAdvice(call)
+		}
+	}
+}
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -49,14 +49,17 @@
 
 // chooseNominees returns the slots of the workers that an advice call queries, in the order of
 // nominees, until they have enough capacity for the step at the expected fraction
-// of permitted workers. It returns none if no worker has room, as a call would be
-// useless.
+// of permitted workers. It returns none if no worker has room, or a gang would not fit
+// even into empty workers, as a call would be useless.
 func (p *placementPass) chooseNominees(r stepRef, have permits) []int32 {
 	ratio, ok := p.permitRatios.Get(r.job.Job.Queue.Name)
 	if !ok {
 		ratio = initialPermitRatio
 	}
 	idle := p.countIdle(r)
+	if r.spec().Gang && !p.fitsEmpty(r, have, idle) {
+		return nil
+	}
 	candidates := p.nominees(r, have, idle)
 	heap.Init(&candidates)
 	var chosen []int32
@@ -77,6 +80,22 @@
 	return chosen
 }
 
+// fitsEmpty reports whether tasks of a step fit at the workers that are not known to be
+// denied, if these are empty.
+func (p *placementPass) fitsEmpty(r stepRef, have permits, tasks int) bool {
+	size := r.spec().Reservation()
+	for _, i := range p.matching(r) {
+		c := &p.slots[i]
+		if permitted, known := have.known[c.ID]; known && !permitted {
+			continue
+		}
+		if tasks -= p.fitsAt(r, c.Capacity, size, 0, tasks); tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // freshTicketShare is the fraction of a ticket's validity that must remain for its
 // worker not to be queried again.
 const freshTicketShare = 0.5
