--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -19,7 +21,8 @@
 
 // process is an entry that may be stopped and started again.
 type process struct {
-	path string // of its settings
+	path  string         // of its settings
+	group errgroup.Group // waits for the command
 
 	mu        sync.Mutex
 	command   *exec.Cmd
@@ -43,8 +46,7 @@
 	}
 	p.command, p.ended, p.expected, p.disturbed = command, make(chan struct{}), false, time.Now()
 	ended := p.ended
-	// The wait ends with the process, which stop ends at the latest.
-	time.AfterFunc(0, func() {
+	p.group.Go(func() error {
 		_ = command.Wait()
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -53,6 +55,7 @@
 		}
 		p.command = nil
 		close(ended)
+		return nil
 	})
 	return nil
 }
