Say once what two troubles and two tests of restarts do

Cause: the soak's TERM and KILL, and two tests of the commander, stood twice. Change: playAway and startPolled.

--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -171,23 +171,32 @@
 // ends of its new incarnation, since a poll beside the one in flight acknowledged them by
 // the numbers of the earlier one.
 func TestNothingIsAcknowledgedToAWorkerThatMayHaveRestarted(t *testing.T) {
-	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}, hold: 2 * time.Second}
-	c, _ := start(t, w, time.Now)
-	awaitPolls(t, w, 2) // the second waits
+	w, c, _ := startPolled(t)
 	c.Acknowledge(leader.Acknowledge{Worker: "w", Incarnation: 1, Number: 57})
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(restartTime)
 	c.Poll(leader.PollNow{Worker: "w"})
 	_, acked := awaitPolls(t, w, 3)
 	assert.Equal(t, acked[2], int64(0))
 }
 
+// restartTime is long enough for a worker to have restarted.
+const restartTime = 700 * time.Millisecond
+
+// startPolled returns a commander with a poll in flight, to a worker that has been up for
+// an hour.
+func startPolled(t *testing.T) (*workers, *commander.Commander, *events) {
+	t.Helper()
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: time.Hour.Milliseconds()}, hold: 2 * time.Second}
+	c, sink := start(t, w, time.Now)
+	awaitPolls(t, w, 2)
+	return w, c, sink
+}
+
 // Guards against leases that end an hour late: the same poll carried a deadline on the
 // clock of the earlier incarnation.
 func TestNoDeadlineIsSentToAWorkerThatMayHaveRestarted(t *testing.T) {
-	w := &workers{report: leader.Report{Incarnation: 1, Clock: 3_600_000}, hold: 2 * time.Second}
-	c, sink := start(t, w, time.Now)
-	awaitPolls(t, w, 2) // the second waits
-	time.Sleep(700 * time.Millisecond)
+	w, c, sink := startPolled(t)
+	time.Sleep(restartTime)
 	w.set(leader.Report{Incarnation: 2, Clock: 100}, nil)
 	c.Poll(leader.PollNow{Worker: "w"})
 	polls, _ := awaitPolls(t, w, 1)
--- a/review/standin/trouble.go
+++ b/review/standin/trouble.go
@@ -28,10 +28,15 @@
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
-func playTerm(s *soak, r *rand.Rand) {
+func playTerm(s *soak, r *rand.Rand) { s.playAway(r, (*process).stop) }
+
+func playKill(s *soak, r *rand.Rand) { s.playAway(r, (*process).kill) }
+
+// playAway ends a process and starts it again some time later.
+func (s *soak) playAway(r *rand.Rand, end func(*process)) {
 	p := s.anyEntry(r)
-	away := between(r, 200*time.Millisecond, 2*time.Second)
-	p.stop()
+	away := between(r, 200*time.Millisecond, 3*time.Second)
+	end(p)
 	_ = pause(s.ctx, away)
 	s.failed(p.start())
 }
@@ -49,14 +54,6 @@
 	}
 }
 
-func playKill(s *soak, r *rand.Rand) {
-	p := s.anyEntry(r)
-	away := between(r, 300*time.Millisecond, 3*time.Second)
-	p.kill()
-	_ = pause(s.ctx, away)
-	s.failed(p.start())
-}
-
 func playFreeze(s *soak, r *rand.Rand) {
 	p := s.anyEntry(r)
 	p.signal(syscall.SIGSTOP)
