Tell the latest lease deadline with a failed poll

Found on reading the change: runs could be given up before their leases ended.

Cause: since a poll that may reach another incarnation carries no deadline, such a poll that failed beside one in flight told the leader nothing of the deadline of that one. Change: a failed poll tells the latest deadline sent to the incarnation. One that was sent before another incarnation was heard counts as no silence of that one.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -270,9 +270,10 @@
 		return ctx.Err()
 	}
 	if err != nil {
-		s.recordMiss()
 		c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch}).WithError(err).Debug("worker poll failed")
-		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: to.Deadline})
+		if deadline, missed := s.recordMiss(to); missed {
+			c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: deadline})
+		}
 		return err
 	}
 	full, silences := s.recordReport(report, to, sent, wait == 0)
@@ -345,13 +346,19 @@
 	return to
 }
 
-// recordMiss records a poll without an answer. It resets acked: what the worker reports
-// after that is acknowledged anew.
-func (s *workerState) recordMiss() {
+// recordMiss records a poll without an answer, unless another incarnation has been heard
+// since, which it returns as false. It resets acked: what the worker reports after that is
+// acknowledged anew. It returns the latest lease deadline sent, be it with a poll that is
+// still in flight.
+func (s *workerState) recordMiss(to Target) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if to.Incarnation != s.incarnation {
+		return 0, false
+	}
 	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
 	s.silences++
+	return s.leaseDeadline, true
 }
 
 // recordReport records a report. It reports whether its running tasks are to be passed
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -102,6 +102,19 @@
 	return all
 }
 
+// failures returns the polls that have failed.
+func (e *events) failures() []leader.PollFailed {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []leader.PollFailed
+	for _, event := range e.all {
+		if f, ok := event.(leader.PollFailed); ok {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
 func start(t *testing.T, w *workers, confirmed func() time.Time) (*commander.Commander, *events) {
 	t.Helper()
 	logger, _ := test.NewNullLogger()
@@ -223,6 +236,23 @@
 	assert.Equal(t, sink.reports(1)[1].Deadline, polls[1].Deadline)
 }
 
+// Guards against runs that are given up before their leases end: a poll that failed beside
+// the one in flight said nothing of the deadline that this one had carried.
+func TestAFailedPollTellsTheLatestDeadline(t *testing.T) {
+	w, c, sink := startPolled(t)
+	polls, _ := w.seen()
+	time.Sleep(restartTime)
+	w.set(leader.Report{}, &classifier.Error{Kind: classifier.Unanswered})
+	c.Poll(leader.PollNow{Worker: "w"})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(sink.failures()) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no poll has failed yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, sink.failures()[0], leader.PollFailed{Worker: "w", Incarnation: 1, Deadline: polls[1].Deadline})
+}
+
 // Guards against a worker at a new address that is taken for the one at the old address:
 // it must not forget ends that it has not reported.
 func TestNothingIsAcknowledgedAtANewAddressBeforeItIsHeard(t *testing.T) {
