Give each pending item a turn to be placed

Cause: each event examined the 64 pending items with the earliest deadlines. As many that could not be placed kept all others from being looked at. Change: half of the 64 goes to the earliest deadlines, the other half to items that have not had their turn. The rule has a package of its own, rationer, which the leader uses too.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -110,7 +110,7 @@
 func (p *placementPass) requestAdvice(r stepRef, have permits) {
 	advice := r.job.Job.Queue.Advice
 	long := advice.PerCall >= longCallTime
-	if p.callersBusy[long] || !p.failedSearches.allows(r.key) {
+	if p.callersBusy[long] || !p.failedSearches.Allows(r.key) {
 		return
 	}
 	caller, ok := p.idleCaller(long)
@@ -120,7 +120,7 @@
 	}
 	queried := p.chooseNominees(r, have)
 	if len(queried) == 0 {
-		p.failedSearches.spend(r.key)
+		p.failedSearches.Spend(r.key)
 		p.deferStep(r)
 		return
 	}
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -32,7 +32,7 @@
 		}
 		return
 	}
-	p.fullSteps.spend(r.key)
+	p.fullSteps.Spend(r.key)
 	p.deferStep(r)
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -52,8 +52,8 @@
 	prefetch       container.Ranking          // steps to request advice for while their predecessors run, by urgency
 	dueRounds      container.Ranking          // jobs by the time at which their next round is due
 	retryAt        container.Table[time.Time] // when to visit a waiting step again that found no room
-	fullTurns      container.Table[bool]      // steps that found no room, as in effort.turns
-	searchTurns    container.Table[bool]      // steps that found no worker to query, as in effort.turns
+	fullTurns      container.Table[bool]      // steps that found no room, as in rationer.Effort.Turns
+	searchTurns    container.Table[bool]      // steps that found no worker to query, as in rationer.Effort.Turns
 	prefetchDue    container.Table[time.Time] // when to estimate again when a step in prefetch becomes ready
 	workers        container.Table[Worker]
 	pool           pool                          // slots of the workers as of the last placement pass
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -7,6 +7,7 @@
 	"github.com/endivelock/endivelock/internal/container"
 	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/placer"
+	"github.com/endivelock/endivelock/internal/rationer"
 )
 
 // placementPass is one attempt to place all waiting steps. It covers the workers
@@ -21,8 +22,8 @@
 	callCounts     []int32               // advice calls in progress that query each slot, nil until counted
 	nomineeSpace   nomineeQueue          // reused between advice calls
 	callersBusy    map[bool]bool         // no entry is idle for a long (true) or short call
-	fullSteps      effort                // steps with tickets and without room
-	failedSearches effort                // steps without room anywhere that an advice call could query
+	fullSteps      rationer.Effort       // steps with tickets and without room
+	failedSearches rationer.Effort       // steps without room anywhere that an advice call could query
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
 	headrooms      map[string]*headroom  // by service; none where no urgent task runs
@@ -41,8 +42,8 @@
 	// The slots that the pass changes are stale afterwards, since their workers have changed.
 	p := &placementPass{transition: t, slots: t.pool.slots, indexByID: t.pool.index, matchCache: map[requirement][]int{}, callersBusy: map[bool]bool{}}
 	p.headrooms = newHeadrooms(p.slots, p.now)
-	p.fullSteps = effort{half: maxFullSteps, turns: p.fullTurns}
-	p.failedSearches = effort{half: maxFailedSearches, turns: p.searchTurns}
+	p.fullSteps = rationer.Effort{Half: maxFullSteps, Turns: p.fullTurns}
+	p.failedSearches = rationer.Effort{Half: maxFailedSearches, Turns: p.searchTurns}
 	for key, score := range t.waiting.From(minScore) {
 		if p.deferrable = deferrable(score); p.deferrable && p.pace.exhausted() {
 			break
@@ -50,7 +51,10 @@
 		if at, ok := t.retryAt.Get(key); ok && t.now.Before(at) {
 			continue
 		}
-		if !p.fullSteps.allows(key) {
+		if !p.fullSteps.Allows(key) {
+			if p.fullSteps.Cut() {
+				break
+			}
 			continue
 		}
 		if r, ok := t.resolveStep(key); ok {
@@ -61,7 +65,7 @@
 		p.rankSteps(id)
 	}
 	p.prefetchAdvice()
-	p.fullTurns, p.searchTurns = p.fullSteps.left(), p.failedSearches.left()
+	p.fullTurns, p.searchTurns = p.fullSteps.Left(), p.failedSearches.Left()
 }
 
 // maxFullSteps is how many steps in one pass may find no room at the workers that they
@@ -141,7 +145,7 @@
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
-			p.fullSteps.spend(r.key)
+			p.fullSteps.Spend(r.key)
 			p.deferStep(r)
 			p.preempt(r, eligible, counts)
 			return
--- a/internal/scheduler/items.go
+++ b/internal/scheduler/items.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/endivelock/endivelock/internal/rationer"
 )
 
 const (
@@ -85,23 +87,27 @@
 }
 
 // placeItems reserves workers for pending items, earliest deadline first, and
-// appends their start records to the log.
+// appends their start records to the log. Each pending item has its turn.
 func (t *step) placeItems() {
 	if t.s.Draining || t.s.Pending.Len() == 0 {
 		return
 	}
-	scanned := 0
+	scan := rationer.Effort{Half: maxItemScan / 2, Turns: t.s.Scanned}
 	candidates := t.candidates()
 	for _, id := range t.s.Pending.All() {
-		if scanned == maxItemScan {
-			return
+		if !scan.Allows(id) {
+			if scan.Cut() {
+				break
+			}
+			continue
 		}
-		scanned++
+		scan.Spend(id)
 		i, _ := t.s.Items.Get(id)
 		if !i.Reserved && t.hasPlacementTurn(i, candidates) {
 			t.reserve(i)
 		}
 	}
+	t.s.Scanned = scan.Left()
 }
 
 // hasPlacementTurn reports whether it is this entry's turn to place a pending
--- a/internal/scheduler/items_test.go
+++ b/internal/scheduler/items_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,6 +33,27 @@
 	assert.Equal(t, len(launches), 0)
 }
 
+// Guards against work that waits with room free: items that could not be placed, of any
+// plan, were the only ones that each event examined.
+func TestItemsThatCannotBePlacedHoldUpNoOthers(t *testing.T) {
+	s := ownerState(1)
+	offset := int64(2)
+	for n := range 200 {
+		s = after(s, 0, ledger(offset, scheduler.SubmitRecord{Work: work(fmt.Sprintf("large%d", n), scheduler.ItemGang, 3, 2)}))
+		offset++
+	}
+	s = after(s, time.Millisecond, ledger(offset, scheduler.SubmitRecord{Work: work("small", scheduler.ItemDeferred, 1, 1)}))
+	for range 10 {
+		next, appends := effectsOf[scheduler.Append](s, 10*time.Millisecond, scheduler.Ticked{})
+		s = next
+		if len(appends) > 0 {
+			return
+		}
+	}
+	item, _ := s.Items.Get("small")
+	assert.Assert(t, item.Reserved, "not placed after ten events")
+}
+
 func TestFeasible(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -47,6 +47,7 @@
 
 	Items          Table[Item]
 	Pending        TimeIndex            // by deadline
+	Scanned        Table[bool]          // pending items that had a turn to be placed, as in rationer.Effort.Turns
 	Reserved       Table[time.Time]     // items whose start record was appended and not yet read back
 	Live           Table[bool]          // items that have not ended
 	Ended          TimeIndex            // items that have ended, by the log's time
