Keep the leases of a resigned leader out of the answers to pings

Cause: found on reading: the record of a resigned leader is what entries answer pings with, and would grow with the silent workers. Change: the leases stay in the hand-over.

--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -158,6 +158,7 @@
 		t.replica = t.replica.withoutLink(t.now)
 	}
 	t.State.lead = *c.Lead
+	t.State.lead.Leases = nil // of no use to those that are told who leads
 	t.handover = newHandover(*c.Lead, c.Offset, t.now)
 	if c.Lead.Epoch > t.claimOffset {
 		t.lastClaim = time.Time{} // the claim is decided: an epoch is the offset after its claim
