Start a recorded run only at the incarnation it was placed on

A task could start on a worker of another kind, or without room.

Cause: a run is placed by the room and the labels of a worker, and its start is ordered once its record is in the log. If the worker restarts under its id meanwhile and is listed again, the worker is open once more, and the start went to the new incarnation.

Change: a placement has the incarnation that it was made for, and its start is withheld if another one reports.

Evidence: TestARecordedRunStartsOnlyAtTheIncarnationItWasPlacedOn failed before (1 start in place of 0) and passes now.

--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -286,6 +286,8 @@
 	switch {
 	case !w.open():
 		return "the worker left, restarted or stopped reporting"
+	case p.Incarnation != w.ReportedIncarnation:
+		return "the worker has restarted since the run was placed"
 	case !p.TicketExpiry.IsZero() && t.now.After(p.TicketExpiry):
 		return "the ticket has expired"
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -147,6 +147,7 @@
 type Placement struct {
 	Task          ledger.TaskID
 	Run           int
+	Incarnation   int64 // of the worker that the run was placed on; 0 if this leader has not placed it
 	Stage         Stage
 	Size          ledger.Resources
 	SentAt        time.Time // when the last order was sent
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -118,6 +118,26 @@
 	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
 }
 
+// Guards against a run that starts at another incarnation than the one it was placed on, whose
+// room and kind it was placed by: the worker had restarted and was listed again before the
+// record of the run was in the log.
+func TestARecordedRunStartsOnlyAtTheIncarnationItWasPlacedOn(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	listing := leader.Listing{ID: "w", Address: "w", Service: "s", Incarnation: 1, Capacity: ledger.Resources{CPU: 8000}, Labels: []string{"b"}}
+	h.apply(leader.Listed{Listing: listing})
+	h.report("w")
+	h.commitsDelayed = true
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
+	listing.Incarnation, listing.Labels = 2, []string{"a"}
+	h.apply(leader.Listed{Listing: listing})
+	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.commitsDelayed = false
+	for _, batch := range h.delayedBatches {
+		h.apply(leader.Committed{Batch: batch})
+	}
+	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
+}
+
 // Guards against jobs that aren't counted as waiting though nothing of them has begun: a
 // run that the worker refused counted as a start.
 func TestARefusedStartHasNotBegun(t *testing.T) {
