Send a worker's values only on connections that its incarnation has answered on

Cause: a call names a worker by its id alone, which the next incarnation has too. Whether a poll reached the incarnation that its acknowledged number and its lease deadline were for was guessed from the time since the last answer (minRestartTime), and orders weren't checked at all. Restarts can be quicker, and the sender's pauses lie between the check and the wire.

Change: a connection is opened once and doesn't outlive the incarnation that accepted it. The first call on each is a poll that tells nothing; values and orders go only on connections on which their incarnation has answered. Values can't be set without an incarnation (commander.ValuesFor), and all that is known of one incarnation is dropped as a whole (commander.life). An order names the incarnation that it is for; it is reported as not sent if another one is there.

Tests: TestNoIncarnationReceivesTheValuesOfAnotherOne plays drawn scripts against a model of the worker's page. With values allowed on any connection it fails at once ("incarnation 2 receives the values of 1"), also with orders for any incarnation. The fakes of earlier tests connect and take the values with the target now; what they check is the same.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -1,6 +1,12 @@
 // Package commander calls workers for a leader: it polls each for reports, which
 // renews the leases of the runs there, and sends orders. It submits the results
 // as events and makes no decisions.
+//
+// A worker that restarts under its id is another incarnation, which no header of a call
+// tells apart: its clock and the numbers of its ends start anew. A call tells values, or has
+// an order, only on a connection on which the incarnation that it is for has answered. Such
+// a connection doesn't outlive the incarnation. The first call on a connection is a poll
+// that tells nothing.
 package commander
 
 import (
@@ -8,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -29,10 +36,6 @@
 	// in the log and acknowledged. A worker with unacknowledged ends answers a poll
 	// at once instead of waiting.
 	ackWait = time.Second
-	// minRestartTime is the shortest time in which a worker crashes, starts again under its
-	// id and can be called. A poll that is sent later than that after the last answer may
-	// reach another incarnation.
-	minRestartTime = 500 * time.Millisecond
 	// pollBackoff is the pause after a poll without an answer.
 	pollBackoff = 250 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
@@ -46,34 +49,15 @@
 	fullReportInterval = time.Second
 )
 
-// Target is the worker that a call is for, with the leader's epoch and the lease
-// deadline.
-type Target struct {
-	Worker   string
-	Address  string
-	Epoch    int64 // epoch of the leader, by which the worker fences off earlier ones
-	Deadline int64 // end of the leases on the worker's clock, milliseconds; 0 leaves them unchanged
-
-	Incarnation int64 // the incarnation on whose clock the deadline is, 0 if none was heard
-}
-
-// Workers calls workers.
-type Workers interface {
-	// Order sends an order. The kind of the error says whether the order may have
-	// been carried out.
-	Order(ctx context.Context, to Target, o leader.Order) error
-	// Poll polls a worker: it renews the leases there and returns a report. The
-	// worker may forget ended runs up to the number acked, and waits up to the
-	// given time for a run to end.
-	Poll(ctx context.Context, to Target, acked int64, wait time.Duration) (leader.Report, error)
-}
-
 // Sink takes events.
 type Sink interface {
 	// Submit takes an event for the leader of an epoch.
 	Submit(epoch int64, e leader.Event)
 }
 
+// errNotSent marks the errors of orders that were not sent.
+var errNotSent = errors.New("order was not sent")
+
 // Commander calls the workers of one leader. Set the exported fields, call Start
 // before any other method, and Wait after the context has ended.
 type Commander struct {
@@ -93,26 +77,6 @@
 	states map[string]*workerState
 }
 
-// workerState is what the commander knows of one worker.
-type workerState struct {
-	mu            sync.Mutex
-	address       string
-	incarnation   int64
-	acked         int64         // ends up to this number are acknowledged
-	lastEnd       int64         // number of the last end reported
-	ackChanged    chan struct{} // signaled when acked or renewedIn changes
-	clock         int64         // steady clock of the worker, milliseconds
-	clockReadAt   time.Time     // when clock was received
-	heardAt       time.Time     // when the last report arrived
-	leaseDeadline int64         // latest lease deadline sent, on the worker's clock
-	unanswered    bool          // the last poll got no answer
-	silences      int64         // times that a poll got no answer, and 1
-	renewedIn     int64         // silences at which the leader had the leases renewed
-	fullReportAt  time.Time     // when running tasks were last reported
-	cancel        context.CancelFunc
-	orderSlots    chan struct{}
-}
-
 // Start prepares the commander. The context bounds all its calls.
 func (c *Commander) Start(ctx context.Context) {
 	c.ctx = ctx
@@ -120,8 +84,15 @@
 	c.group.SetLimit(maxCalls)
 }
 
-// Wait returns when no call is in flight.
-func (c *Commander) Wait() { _ = c.group.Wait() }
+// Wait returns when no call is in flight and no connection is open.
+func (c *Commander) Wait() {
+	_ = c.group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.states {
+		s.close()
+	}
+}
 
 // Watch starts polling a worker, or goes on at a new address. A poll in flight is kept,
 // since its lease deadline has to be reported.
@@ -143,24 +114,13 @@
 	})
 }
 
-// move changes the worker's address and reports whether it was another one, where nothing
-// has been heard yet.
-func (s *workerState) move(address string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.address == address {
-		return false
-	}
-	s.address, s.heardAt = address, time.Time{}
-	return true
-}
-
 // Unwatch stops polling a worker.
 func (c *Commander) Unwatch(e leader.StopPolling) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s, ok := c.states[e.Worker]; ok {
 		s.cancel()
+		s.close()
 		delete(c.states, e.Worker)
 	}
 }
@@ -194,34 +154,6 @@
 	}
 }
 
-// signal wakes awaitLeader. The caller holds the lock.
-func (s *workerState) signal() {
-	select {
-	case s.ackChanged <- struct{}{}:
-	default:
-	}
-}
-
-// awaitLeader waits until all ends that the worker has reported are acknowledged and the
-// leader has its leases renewed, at most for ackWait.
-func (s *workerState) awaitLeader(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, ackWait)
-	defer cancel()
-	for ctx.Err() == nil && !s.followed() {
-		select {
-		case <-ctx.Done():
-		case <-s.ackChanged:
-		}
-	}
-}
-
-// followed reports whether the leader has followed up on all that the worker has reported.
-func (s *workerState) followed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.acked >= s.lastEnd && s.renewedIn == s.silences
-}
-
 func (c *Commander) state(worker string) (*workerState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -236,7 +168,9 @@
 		return
 	}
 	c.group.Go(func() error {
-		_ = c.poll(c.ctx, e.Worker, s, 0)
+		if err := c.poll(c.ctx, e.Worker, s, 0); classifier.Is(err, classifier.Unanswered) && c.ctx.Err() == nil {
+			_ = c.poll(c.ctx, e.Worker, s, 0) // on a new connection, as the earlier ones may be those of an earlier incarnation
+		}
 		return nil
 	})
 }
@@ -256,74 +190,99 @@
 	}
 }
 
-// poll asks a worker for a report and submits the result. It does not wait for the end of
-// a run before it is known which incarnation answers.
+// attempt is a poll that is about to be sent.
+type attempt struct {
+	to    Target
+	heard int64 // the incarnation that was heard last
+	sent  time.Time
+}
+
+// poll asks a worker for a report and submits the result.
 func (c *Commander) poll(ctx context.Context, worker string, s *workerState, wait time.Duration) error {
-	sent := time.Now()
-	to, acked, same := c.pollTarget(worker, s, sent)
-	if !same {
-		wait = 0
+	for {
+		l := s.take(c.Workers)
+		kept := l.answered
+		err := c.pollOn(ctx, worker, s, l, wait)
+		if err == nil {
+			s.release(l)
+		}
+		if !kept || !classifier.Is(err, classifier.Unsent) {
+			return err
+		}
 	}
-	report, err := c.Workers.Poll(ctx, to, acked, wait)
-	c.Polls.UpdateSince(sent)
-	if ctx.Err() != nil {
-		return ctx.Err()
+}
+
+// pollOn polls a worker on a line, which it closes if that fails. It does not wait for the
+// end of a run before an incarnation has answered on the line.
+func (c *Commander) pollOn(ctx context.Context, worker string, s *workerState, l *line, wait time.Duration) error {
+	if !l.answered {
+		wait = 0
 	}
+	a := c.pollAttempt(worker, s, l, time.Now())
+	report, err := l.Poll(ctx, a.to, wait)
+	c.Polls.UpdateSince(a.sent)
 	if err != nil {
-		c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch}).WithError(err).Debug("worker poll failed")
-		if deadline, missed := s.recordMiss(to); missed {
-			c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: to.Incarnation, Deadline: deadline})
-		}
+		l.Close()
+	}
+	switch {
+	case ctx.Err() != nil:
+		l.Close()
+		return ctx.Err()
+	case err != nil:
+		c.handleFailure(worker, s, l, a, err)
 		return err
 	}
-	full, silences := s.recordReport(report, to, sent, wait == 0)
+	full, silences := s.recordReport(report, l, a, wait == 0)
 	if !full {
 		report.Running, report.Partial = nil, true
 	}
-	if report.Incarnation != to.Incarnation {
-		to.Deadline = 0 // on the clock of another incarnation
+	var deadline int64
+	if a.to.Values.Incarnation() == report.Incarnation {
+		deadline = a.to.Values.Deadline()
 	}
-	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: sent, Deadline: to.Deadline, Silences: silences})
+	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: a.sent, Deadline: deadline, Silences: silences})
 	return nil
 }
 
-// pollTarget returns the target of a poll, the number up to which it acknowledges ends, and
-// whether it reaches the incarnation that was heard last. Another one counts its ends anew
-// and has a clock of its own: it must not forget ends that it has not reported, nor hold
-// leases up to a time on the clock of an earlier one.
-func (c *Commander) pollTarget(worker string, s *workerState, now time.Time) (Target, int64, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.sameIncarnation(now) {
-		return c.target(worker, s), 0, false
+// handleFailure submits the failure of a poll, unless it tells nothing of the worker.
+func (c *Commander) handleFailure(worker string, s *workerState, l *line, a attempt, err error) {
+	c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch}).WithError(err).Debug("worker poll failed")
+	if l.answered && classifier.Is(err, classifier.Unsent) {
+		return
+	}
+	if deadline, missed := s.recordMiss(a.heard); missed {
+		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline})
 	}
-	return c.renewedTarget(worker, s, now), s.acked, true
 }
 
-// target returns the target of a call that renews no leases. The caller holds the lock of
-// the worker's state.
-func (c *Commander) target(worker string, s *workerState) Target {
-	return Target{Worker: worker, Address: s.address, Epoch: c.Epoch, Incarnation: s.incarnation}
+// pollAttempt returns a poll on a line. It tells the worker values only if the incarnation
+// for which they are valid has answered on the line.
+func (c *Commander) pollAttempt(worker string, s *workerState, l *line, now time.Time) attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := attempt{to: c.target(worker, l), heard: s.incarnation, sent: now}
+	if s.usable(l) {
+		a.to.Values = c.renewal(s, now).WithAcked(s.acked)
+	}
+	return a
 }
 
-// sameIncarnation reports whether a poll reaches the incarnation that was heard last. The
-// caller holds the lock.
-func (s *workerState) sameIncarnation(now time.Time) bool {
-	return !s.unanswered && now.Sub(s.heardAt) < minRestartTime
+// target returns the target of a call on a line that tells no values.
+func (c *Commander) target(worker string, l *line) Target {
+	return Target{Worker: worker, Address: l.address, Fence: c.Epoch}
 }
 
-// renewedTarget returns the target of a call that renews leases. Leases are renewed once
-// the leader has heard the worker, and as long as the worker answers and the log confirms
-// the leader: the leases of a silent worker must be able to lapse, and whoever leads next
-// may rely on what this leader knows of them. The caller holds the lock of the worker's
-// state.
-func (c *Commander) renewedTarget(worker string, s *workerState, now time.Time) Target {
-	to := c.target(worker, s)
-	if !s.clockReadAt.IsZero() && !s.unanswered && s.renewedIn == s.silences && c.permitted(now) {
-		s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
-		to.Deadline = s.leaseDeadline
-	}
-	return to
+// renewal returns values that renew leases. Leases are renewed once the leader has heard
+// the worker, and as long as the worker answers and the log confirms the leader: the leases
+// of a silent worker must be able to lapse, and whoever leads next may rely on what this
+// leader knows of them. The caller holds the lock of the worker's state.
+func (c *Commander) renewal(s *workerState, now time.Time) Values {
+	v := ValuesFor(s.incarnation)
+	if s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silences || !c.permitted(now) {
+		return v
+	}
+	s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
+	return v.WithDeadline(s.leaseDeadline)
 }
 
 // permitted reports whether the leader was confirmed lately enough for calls in its
@@ -332,66 +291,23 @@
 	return timer.Elapsed(c.LastConfirmed(), now) < c.Renewal
 }
 
-// orderTarget returns the target of an order. Orders don't extend leases beyond
-// the deadline that polls have sent, so that the leader knows when they lapse.
-// Only an order that comes before the first such deadline sets one.
-func (c *Commander) orderTarget(worker string, s *workerState, now time.Time) Target {
+// orderTarget returns the target of an order on a line, or false if the incarnation that the
+// order is for has not answered there, or another one has been heard since. Orders don't
+// extend leases beyond the deadline that polls have sent, so that the leader knows when
+// they lapse. Only an order that comes before the first such deadline sets one.
+func (c *Commander) orderTarget(s *workerState, l *line, o leader.Order, now time.Time) (Target, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaseDeadline == 0 {
-		return c.renewedTarget(worker, s, now)
-	}
-	to := c.target(worker, s)
-	to.Deadline = s.leaseDeadline
-	return to
-}
-
-// recordMiss records a poll without an answer, unless another incarnation has been heard
-// since, which it returns as false. It resets acked: what the worker reports after that is
-// acknowledged anew. It returns the latest lease deadline sent, be it with a poll that is
-// still in flight.
-func (s *workerState) recordMiss(to Target) (int64, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if to.Incarnation != s.incarnation {
-		return 0, false
+	if !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation {
+		return Target{}, false
 	}
-	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
-	s.silences++
-	return s.leaseDeadline, true
-}
-
-// recordReport records a report. It reports whether its running tasks are to be passed
-// on: if the last ones are old or were asked for. The number is that of the silences if the
-// leader has to have the leases renewed.
-func (s *workerState) recordReport(r leader.Report, from Target, sent time.Time, asked bool) (bool, int64) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.Incarnation < s.incarnation {
-		return true, 0
-	}
-	full := asked || r.Incarnation != s.incarnation || sent.Sub(s.fullReportAt) >= fullReportInterval
-	if full {
-		s.fullReportAt = sent
-	}
-	s.unanswered = false
-	if from.Address == s.address {
-		s.heardAt = now
-	}
-	if r.Incarnation != s.incarnation {
-		s.incarnation, s.acked, s.lastEnd, s.leaseDeadline, s.clock = r.Incarnation, 0, 0, 0, 0
-	}
-	for _, e := range r.Ended {
-		s.lastEnd = max(s.lastEnd, e.Number)
-	}
-	if r.Clock >= s.clock {
-		s.clock, s.clockReadAt = r.Clock, now
-	}
-	if s.renewedIn == s.silences {
-		return full, 0
+	to := c.target(o.Worker, l)
+	if s.leaseDeadline == 0 {
+		to.Values = c.renewal(s, now)
+	} else {
+		to.Values = ValuesFor(s.incarnation).WithDeadline(s.leaseDeadline)
 	}
-	return full, s.silences
+	return to, true
 }
 
 // Order sends an order and submits its outcome. Orders beyond
@@ -416,25 +332,49 @@
 
 func (c *Commander) sendOrder(s *workerState, o leader.Order) {
 	began := time.Now()
-	if !c.permitted(began) {
-		c.Logger.WithFields(logrus.Fields{"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch}).
-			Warn("order not sent, since the leader has not been confirmed for too long")
-		c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: leader.NotSent, At: began})
-		return
+	kept, err := c.tryOrder(s, o)
+	for kept && classifier.Is(err, classifier.Unsent) {
+		kept, err = c.tryOrder(s, o) // the line had broken off since its last call
 	}
-	to := c.orderTarget(o.Worker, s, began)
-	err := c.Workers.Order(c.ctx, to, o)
 	c.Orders.UpdateSince(began)
 	if c.ctx.Err() != nil {
 		return
 	}
-	outcome := outcomeOf(err)
 	if err != nil {
 		c.Logger.WithFields(logrus.Fields{
 			"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch,
 		}).WithError(err).Warn("order failed")
 	}
-	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome, At: time.Now()})
+	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcomeOf(err), At: time.Now()})
+}
+
+// tryOrder sends an order on a line on which the incarnation that it is for has answered. It
+// reports whether the line had been used before.
+func (c *Commander) tryOrder(s *workerState, o leader.Order) (bool, error) {
+	l := s.take(c.Workers)
+	kept := l.answered
+	if !kept {
+		if err := c.pollOn(c.ctx, o.Worker, s, l, 0); err != nil {
+			return false, errors.Mark(errors.Wrap(err, "poll before an order"), errNotSent)
+		}
+	}
+	now := time.Now()
+	if !c.permitted(now) {
+		s.release(l)
+		return kept, errors.Mark(errors.New("the leader has not been confirmed for too long"), errNotSent)
+	}
+	to, ok := c.orderTarget(s, l, o, now)
+	if !ok {
+		s.release(l)
+		return kept, errors.Mark(errors.Newf("incarnation %d has not answered last", o.Incarnation), errNotSent)
+	}
+	err := l.Order(c.ctx, to, o)
+	if err == nil || classifier.NotExecuted(err) && !classifier.Is(err, classifier.Unsent) {
+		s.release(l)
+	} else {
+		l.Close()
+	}
+	return kept, err
 }
 
 // outcomeOf returns the outcome of an order from its error.
@@ -442,6 +382,9 @@
 	if err == nil {
 		return leader.Executed
 	}
+	if errors.Is(err, errNotSent) {
+		return leader.NotSent
+	}
 	switch classifier.KindOf(err) {
 	case classifier.Unanswered:
 		return leader.OutcomeUnknown
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -22,22 +22,27 @@
 type workers struct {
 	mu     sync.Mutex
 	report leader.Report
-	fail   error // result of polls and orders
+	fail   error // result of polls
+	refuse error // result of orders
 	polls  []commander.Target
 	acked  []int64
 	hold   time.Duration // how long a poll waits that may wait, 0 for a short while
 }
 
+func (w *workers) Connect(string) commander.Connection { return w }
+
+func (w *workers) Close() {}
+
 func (w *workers) Order(context.Context, commander.Target, leader.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fail
+	return w.refuse
 }
 
-func (w *workers) Poll(ctx context.Context, to commander.Target, acked int64, wait time.Duration) (leader.Report, error) {
+func (w *workers) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
 	w.mu.Lock()
 	w.polls = append(w.polls, to)
-	w.acked = append(w.acked, acked)
+	w.acked = append(w.acked, to.Values.Acked())
 	report, fail, hold := w.report, w.fail, max(w.hold, 20*time.Millisecond)
 	w.mu.Unlock()
 	if wait > 0 && fail == nil && len(report.Ended) == 0 {
@@ -55,6 +60,12 @@
 	w.report, w.fail, w.polls, w.acked = r, fail, nil, nil
 }
 
+func (w *workers) refuseOrders(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refuse = err
+}
+
 func (w *workers) seen() ([]commander.Target, []int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -153,12 +164,12 @@
 	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}
 	start(t, w, time.Now)
 	polls, _ := awaitPolls(t, w, 3)
-	assert.Equal(t, polls[0].Deadline, int64(0), "the clock is not known yet")
-	assert.Assert(t, polls[2].Deadline >= 7000)
+	assert.Equal(t, polls[0].Values.Deadline(), int64(0), "the clock is not known yet")
+	assert.Assert(t, polls[2].Values.Deadline() >= 7000)
 	w.set(leader.Report{}, &classifier.Error{Kind: classifier.Unanswered})
 	polls, _ = awaitPolls(t, w, 3)
 	for _, to := range polls[1:] {
-		assert.Equal(t, to.Deadline, int64(0))
+		assert.Equal(t, to.Values.Deadline(), int64(0))
 	}
 }
 
@@ -213,7 +224,7 @@
 	w.set(leader.Report{Incarnation: 2, Clock: 100}, nil)
 	c.Poll(leader.PollNow{Worker: "w"})
 	polls, _ := awaitPolls(t, w, 1)
-	assert.Equal(t, polls[0].Deadline, int64(0))
+	assert.Equal(t, polls[0].Values.Deadline(), int64(0))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if len(sink.reports(2)) > 0 {
 			return poll.Success()
@@ -232,8 +243,8 @@
 	c.Watch(leader.StartPolling{Worker: "w", Address: "a"})
 	time.Sleep(time.Second)
 	polls, _ := w.seen()
-	assert.Assert(t, polls[1].Deadline > 0)
-	assert.Equal(t, sink.reports(1)[1].Deadline, polls[1].Deadline)
+	assert.Assert(t, polls[1].Values.Deadline() > 0)
+	assert.Equal(t, sink.reports(1)[1].Deadline, polls[1].Values.Deadline())
 }
 
 // Guards against runs that are given up before their leases end: a poll that failed beside
@@ -250,7 +261,7 @@
 		}
 		return poll.Continue("no poll has failed yet")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
-	assert.Equal(t, sink.failures()[0], leader.PollFailed{Worker: "w", Incarnation: 1, Deadline: polls[1].Deadline})
+	assert.Equal(t, sink.failures()[0], leader.PollFailed{Worker: "w", Incarnation: 1, Deadline: polls[1].Values.Deadline()})
 }
 
 // Guards against a worker at a new address that is taken for the one at the old address:
@@ -263,7 +274,7 @@
 	c.Watch(leader.StartPolling{Worker: "w", Address: "b"})
 	polls, acked := awaitPolls(t, w, 3)
 	assert.Equal(t, polls[2].Address, "b")
-	assert.Equal(t, polls[2].Deadline, int64(0))
+	assert.Equal(t, polls[2].Values.Deadline(), int64(0))
 	assert.Equal(t, acked[2], int64(0))
 }
 
@@ -282,17 +293,17 @@
 	w.set(leader.Report{Incarnation: 1, Clock: 2000}, nil)
 	polls, _ := awaitPolls(t, w, 3)
 	for _, to := range polls {
-		assert.Equal(t, to.Deadline, int64(0))
+		assert.Equal(t, to.Values.Deadline(), int64(0))
 	}
 	c.Renew(leader.Renew{Worker: "w", Silences: 1})
 	w.set(leader.Report{Incarnation: 1, Clock: 3000}, nil)
 	polls, _ = awaitPolls(t, w, 2)
-	assert.Equal(t, polls[1].Deadline, int64(0), "there was a silence since")
+	assert.Equal(t, polls[1].Values.Deadline(), int64(0), "there was a silence since")
 	reports := sink.reports(1)
 	c.Renew(leader.Renew{Worker: "w", Silences: reports[len(reports)-1].Silences})
 	w.set(leader.Report{Incarnation: 1, Clock: 4000}, nil)
 	polls, _ = awaitPolls(t, w, 2)
-	assert.Assert(t, polls[1].Deadline > 4000)
+	assert.Assert(t, polls[1].Values.Deadline() > 4000)
 }
 
 // A leader that the log does not confirm lets leases lapse: a new leader may
@@ -303,7 +314,7 @@
 	start(t, w, func() time.Time { return long })
 	polls, _ := awaitPolls(t, w, 4)
 	for _, to := range polls {
-		assert.Equal(t, to.Deadline, int64(0))
+		assert.Equal(t, to.Values.Deadline(), int64(0))
 	}
 }
 
@@ -341,7 +352,7 @@
 		w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}
 		sender, sink := start(t, w, time.Now)
 		awaitPolls(t, w, 1)
-		w.set(leader.Report{Incarnation: 1, Clock: 1001}, c.fail)
+		w.refuseOrders(c.fail)
 		sender.Order(leader.Order{Worker: "w", Kind: leader.OrderStart, Task: ledger.TaskID{Job: "j"}, Run: 1})
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if len(sink.answers()) > 0 {
--- /dev/null
+++ b/internal/commands/commander/incarnation_test.go
@@ -0,0 +1,137 @@
+package commander_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/endivelock/endivelock/internal/commands/commander"
+	"github.com/endivelock/endivelock/internal/leader"
+)
+
+// calm is long enough for all delayed calls to be executed and for the worker to be heard.
+const calm = 20 * time.Second
+
+// rounds is how often the scripts of one check are drawn.
+const rounds = 20
+
+// newModel returns a commander of a model worker.
+func newModel(ctx context.Context) (*model, *follower) {
+	logger, _ := test.NewNullLogger()
+	m := &model{}
+	m.begin(longUptime)
+	f := &follower{model: m}
+	f.commander = &commander.Commander{
+		Workers: m, Sink: f, Logger: logger, Epoch: 7, Lease: longestHold, Renewal: time.Second, LastConfirmed: time.Now,
+		Polls: metrics.NilTimer{}, Orders: metrics.NilTimer{},
+	}
+	f.commander.Start(ctx)
+	f.commander.Watch(leader.StartPolling{Worker: "w", Address: "a"})
+	return m, f
+}
+
+// drawFate draws what becomes of a call: most are executed and answered.
+func drawFate(t *rapid.T) fate {
+	f := fate{executed: true, answered: true}
+	switch rapid.IntRange(0, 9).Draw(t, "fate") {
+	case 8:
+		f.executed, f.answered = false, false // lost
+	case 9:
+		f.answered = false // its answer is lost
+	}
+	return f
+}
+
+func milliseconds(t *rapid.T, what string, least, most int) time.Duration {
+	return time.Duration(rapid.IntRange(least, most).Draw(t, what)) * time.Millisecond
+}
+
+// Kinds of events of a script.
+const (
+	restart = iota
+	pollNow
+	orders     // and above: an order
+	eventKinds = orders + 3
+)
+
+// event is something that happens after a pause.
+type event struct {
+	pause time.Duration
+	kind  int
+	dark  time.Duration // of a restart
+}
+
+// script is what happens to a worker and to the calls to it.
+type script struct {
+	fates  []fate
+	events []event
+}
+
+func drawScript(t *rapid.T) script {
+	return script{
+		fates: rapid.SliceOfN(rapid.Custom(drawFate), 0, 150).Draw(t, "fates"),
+		events: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+			return event{
+				pause: milliseconds(t, "pause", 0, rapid.SampledFrom([]int{30, 700}).Draw(t, "most")), kind: rapid.IntRange(0, eventKinds-1).Draw(t, "kind"), dark: milliseconds(t, "dark", 0, 900),
+			}
+		}), 1, 60).Draw(t, "events"),
+	}
+}
+
+// Guards against calls that another incarnation of a worker executes than the one that they
+// are for (review/3: done tasks ran again; review/4: leases an hour too long). Restarts take
+// any time; calls are lost before or after they are executed.
+func TestNoIncarnationReceivesTheValuesOfAnotherOne(t *testing.T) {
+	for range rounds {
+		rapid.Check(t, func(rt *rapid.T) {
+			s := drawScript(rt)
+			var m *model
+			synctest.Test(t, func(*testing.T) { m = play(s) })
+			assert.DeepEqual(rt, m.broken, []string(nil))
+		})
+	}
+}
+
+// play plays a script, and then a calm time in which the last incarnation must be heard and
+// execute an order. It returns what was broken in the model.
+func play(s script) *model {
+	ctx, cancel := context.WithCancel(context.Background())
+	m, f := newModel(ctx)
+	defer f.commander.Wait()
+	defer cancel()
+	m.setFates(s.fates)
+	for _, e := range s.events {
+		time.Sleep(e.pause)
+		switch e.kind {
+		case restart:
+			m.crash()
+			time.Sleep(e.dark)
+			m.begin(0)
+		case pollNow:
+			f.commander.Poll(leader.PollNow{Worker: "w"})
+		default:
+			f.order()
+		}
+	}
+	m.setFates(nil)
+	time.Sleep(calm)
+	before := f.executed()
+	f.order()
+	time.Sleep(time.Second)
+	if f.executed() != before+1 {
+		m.violate("an order in a calm cell is not executed")
+	}
+	if heard := f.heard(); heard != m.current.number {
+		m.violate("incarnation %d is there, %d was heard", m.current.number, heard)
+	}
+	m.crash() // the poll in flight fails, and tells the deadline that it carried
+	time.Sleep(time.Second)
+	m.checkLeases()
+	return m
+}
--- /dev/null
+++ b/internal/commands/commander/state.go
@@ -0,0 +1,133 @@
+package commander
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/endivelock/endivelock/internal/leader"
+)
+
+// workerState is what the commander knows of one worker.
+type workerState struct {
+	mu           sync.Mutex
+	address      string
+	life                       // valid if heard
+	heard        bool          // a report has been accepted
+	idle         []*line       // lines on which the incarnation has answered, the last used last
+	closed       bool          // the worker is not watched any more
+	ackChanged   chan struct{} // signaled when acked or renewedIn changes
+	unanswered   bool          // the last poll got no answer
+	silences     int64         // times that a poll got no answer, and 1
+	renewedIn    int64         // silences at which the leader had the leases renewed
+	fullReportAt time.Time     // when running tasks were last reported
+	cancel       context.CancelFunc
+	orderSlots   chan struct{}
+}
+
+// life is what is known of one incarnation and means nothing to another one.
+type life struct {
+	incarnation   int64
+	acked         int64     // ends up to this number are acknowledged
+	lastEnd       int64     // number of the last end reported
+	clock         int64     // steady clock of the worker, milliseconds
+	clockReadAt   time.Time // when clock was received
+	leaseDeadline int64     // latest lease deadline sent, on the worker's clock
+}
+
+// move changes the worker's address and reports whether it was another one.
+func (s *workerState) move(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.address == address {
+		return false
+	}
+	s.address = address
+	s.closeIdle()
+	return true
+}
+
+// close closes the idle lines, and those that are released later.
+func (s *workerState) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.closeIdle()
+}
+
+// signal wakes awaitLeader. The caller holds the lock.
+func (s *workerState) signal() {
+	select {
+	case s.ackChanged <- struct{}{}:
+	default:
+	}
+}
+
+// awaitLeader waits until all ends that the worker has reported are acknowledged and the
+// leader has its leases renewed, at most for ackWait.
+func (s *workerState) awaitLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ackWait)
+	defer cancel()
+	for ctx.Err() == nil && !s.followed() {
+		select {
+		case <-ctx.Done():
+		case <-s.ackChanged:
+		}
+	}
+}
+
+// followed reports whether the leader has followed up on all that the worker has reported.
+func (s *workerState) followed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acked >= s.lastEnd && s.renewedIn == s.silences
+}
+
+// recordMiss records a poll without an answer that was sent after an incarnation had been
+// heard, unless another one has been heard since, which it returns as false. It resets
+// acked: what the worker reports after that is acknowledged anew. It returns the latest
+// lease deadline sent, be it with a poll that is still in flight.
+func (s *workerState) recordMiss(incarnation int64) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if incarnation != s.incarnation {
+		return 0, false
+	}
+	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
+	s.silences++
+	s.closeIdle()
+	return s.leaseDeadline, true
+}
+
+// recordReport records a report that came on a line. It reports whether its running tasks
+// are to be passed on: if the last ones are old or were asked for. The number is that of
+// the silences if the leader has to have the leases renewed.
+func (s *workerState) recordReport(r leader.Report, l *line, a attempt, asked bool) (bool, int64) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.answered, l.incarnation = true, r.Incarnation
+	if s.heard && r.Incarnation < s.incarnation {
+		return true, 0
+	}
+	changed := !s.heard || r.Incarnation != s.incarnation
+	full := asked || changed || a.sent.Sub(s.fullReportAt) >= fullReportInterval
+	if full {
+		s.fullReportAt = a.sent
+	}
+	s.unanswered = false
+	if changed {
+		s.heard, s.life = true, life{incarnation: r.Incarnation}
+		s.closeIdle()
+	}
+	for _, e := range r.Ended {
+		s.lastEnd = max(s.lastEnd, e.Number)
+	}
+	if r.Clock >= s.clock {
+		s.clock, s.clockReadAt = r.Clock, now
+	}
+	if s.renewedIn == s.silences {
+		return full, 0
+	}
+	return full, s.silences
+}
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -46,9 +46,13 @@
 	return nil
 }
 
-func (w *workers) Poll(ctx context.Context, to commander.Target, _ int64, wait time.Duration) (leader.Report, error) {
+func (w *workers) Connect(string) commander.Connection { return w }
+
+func (w *workers) Close() {}
+
+func (w *workers) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
 	w.mu.Lock()
-	w.deadlines = append(w.deadlines, to.Deadline)
+	w.deadlines = append(w.deadlines, to.Values.Deadline())
 	w.mu.Unlock()
 	if wait > 0 {
 		select {
--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -30,11 +30,14 @@
 	done       map[ledger.TaskID]bool
 }
 
-var _ commander.Workers = (*Cell)(nil)
+var (
+	_ commander.Workers    = (*Cell)(nil)
+	_ commander.Connection = connection{}
+)
 
 // workerState is the state of one worker of a cell.
 type workerState struct {
-	fence   int64                   // highest epoch seen
+	fence   int64                   // highest one seen
 	lastEnd int64                   // number of the newest end
 	running map[string]time.Time    // start time by run
 	tasks   map[string]leader.Order // by run
@@ -55,16 +58,26 @@
 	return w
 }
 
-// Order executes an order on a worker. An order of a lower epoch than the
-// worker has seen is fenced.
-func (c *Cell) Order(_ context.Context, to commander.Target, o leader.Order) error {
+// connection is a connection to one of the workers, which neither restart nor break
+// connections off.
+type connection struct{ *Cell }
+
+// Connect returns a connection. Targets name the worker.
+func (c *Cell) Connect(string) commander.Connection { return connection{c} }
+
+// Close does nothing.
+func (connection) Close() {}
+
+// Order executes an order on a worker. An order of a lower fence than the
+// worker has seen is refused.
+func (c connection) Order(_ context.Context, to commander.Target, o leader.Order) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.worker(to.Worker)
-	if to.Epoch < w.fence {
+	if to.Fence < w.fence {
 		return &classifier.Error{Kind: classifier.Fenced}
 	}
-	w.fence = to.Epoch
+	w.fence = to.Fence
 	key := fmt.Sprintf("%s#%d", o.Task, o.Run)
 	switch o.Kind {
 	case leader.OrderStart:
@@ -112,9 +125,9 @@
 
 // Poll returns a worker's report as soon as it contains an ended run, or after
 // wait. Ends up to the number acked are dropped.
-func (c *Cell) Poll(ctx context.Context, to commander.Target, acked int64, wait time.Duration) (leader.Report, error) {
+func (c connection) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
 	for end := time.Now().Add(wait); ; timer.Sleep(ctx, pollPeriod) {
-		report, err := c.report(to, acked)
+		report, err := c.report(to, to.Values.Acked())
 		if err != nil || len(report.Ended) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
 			return report, err
 		}
@@ -125,10 +138,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.worker(to.Worker)
-	if to.Epoch < w.fence {
+	if to.Fence < w.fence {
 		return leader.Report{}, &classifier.Error{Kind: classifier.Fenced}
 	}
-	w.fence = to.Epoch
+	w.fence = to.Fence
 	for key, began := range w.running {
 		if time.Since(began) > c.RunTime {
 			c.done[w.tasks[key].Task] = true
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -275,7 +275,7 @@
 	}
 	t.putPlacement(w, p.WithStage(StartSent).WithSent(t.now))
 	t.emit(Order{
-		Worker: w.ID, Address: w.Address, Kind: OrderStart, Task: p.Task, Run: p.Run,
+		Worker: w.ID, Address: w.Address, Incarnation: p.Incarnation, Kind: OrderStart, Task: p.Task, Run: p.Run,
 		Spec: job.Job.Spec, Checkpoint: job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Checkpoint, Ticket: p.Ticket,
 	})
 }
@@ -304,7 +304,7 @@
 		return w
 	}
 	w = t.putPlacement(w, p.WithStage(Stopping).WithSent(t.now))
-	t.emit(Order{Worker: w.ID, Address: w.Address, Kind: OrderStop, Task: p.Task, Run: p.Run})
+	t.emit(w.order(OrderStop, p))
 	t.emit(Decision{What: "stop", Job: p.Task.Job, Task: p.Task.String(), Run: p.Run, Worker: w.ID, Why: why})
 	return w
 }
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -32,6 +32,7 @@
 type Order struct {
 	Worker       string
 	Address      string
+	Incarnation  int64 // the only one that the order is for, 0 if none was heard
 	Kind         OrderKind
 	Task         ledger.TaskID
 	Run          int
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -88,7 +88,7 @@
 	for _, p := range w.Placements.All() {
 		if p.Stage == Stopping && p.AnsweredAt.IsZero() && t.now.Sub(p.SentAt) > stopRetryInterval {
 			w = t.putPlacement(w, p.WithSent(t.now))
-			t.emit(Order{Worker: w.ID, Address: w.Address, Kind: OrderStop, Task: p.Task, Run: p.Run})
+			t.emit(w.order(OrderStop, p))
 		}
 	}
 }
@@ -204,6 +204,8 @@
 			continue
 		}
 		w = t.putPlacement(w, p.WithSpeed(percent))
-		t.emit(Order{Worker: w.ID, Address: w.Address, Kind: OrderThrottle, Task: p.Task, Run: p.Run, SpeedPercent: percent})
+		o := w.order(OrderThrottle, p)
+		o.SpeedPercent = percent
+		t.emit(o)
 	}
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -80,6 +80,11 @@
 // Free returns the capacity that is left.
 func (w Worker) Free() ledger.Resources { return w.Capacity.Minus(w.Used) }
 
+// order returns an order about a run for the incarnation that was reported last.
+func (w Worker) order(kind OrderKind, p Placement) Order {
+	return Order{Worker: w.ID, Address: w.Address, Incarnation: w.ReportedIncarnation, Kind: kind, Task: p.Task, Run: p.Run}
+}
+
 // WithListing returns the worker with listing l, seen at time now.
 func (w Worker) WithListing(l Listing, now time.Time) Worker {
 	if l.Draining && !w.Draining {
--- a/internal/packer/commands.go
+++ b/internal/packer/commands.go
@@ -58,6 +58,7 @@
 func (w *writer) order(o leader.Order) {
 	w.name(o.Worker)
 	w.name(o.Address)
+	w.number(o.Incarnation)
 	w.name(string(o.Kind))
 	w.task(o.Task)
 	w.number(int64(o.Run))
@@ -105,7 +106,7 @@
 
 func (r *reader) order() *leader.Order {
 	return &leader.Order{
-		Worker: r.name(), Address: r.name(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(),
+		Worker: r.name(), Address: r.name(), Incarnation: r.number(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(),
 		Spec: r.name(), Checkpoint: r.name(), Ticket: r.text(), SpeedPercent: r.integer(),
 	}
 }
