Fence off the calls to earlier incarnations before a new one is accepted

Seen by callers: nothing recorded; the protocol allows it. A call without an answer may be executed seconds later, by then at the next incarnation of the worker: an acknowledgement erases ends that nobody has read (TWICE), a start runs a task that has been started elsewhere, a deadline on the old clock sets leases.

Cause: the new incarnation has seen no fence, so that it executes whatever arrives late. A leader used one fence, its epoch, for all its calls.

Change: a new incarnation is accepted, so that work can start there, only once it has answered a poll with a higher fence than all calls to earlier ones; it refuses those from then on. A leader begins with the end of the stream as it has read it, since an earlier one could write past the claim until it was fenced off. Deputies are told the fence with commands and confirmations; a worker that changes its caller, or is watched anew, has a floor under the fence of its first accepted poll. A late call may have brought a restarted worker the longest lease that it grants, not that of our calls.

Tests: TestNoIncarnationReceivesTheValuesOfAnotherOne draws late and doubled calls now. Also failing without their part: TestTheNextCallerOfAWorkerFencesOffTheLostOne, TestAWorkerThatIsWatchedAnewFencesOffEarlierCalls, TestFencesRiseWithTheRecordsOfALeader, TestARestartedWorkerMayHaveTheLongestLease.

What stays: a start and an acknowledgement that are both executed late, by a new incarnation that has not answered yet, can still erase an end unread.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -3,10 +3,15 @@
 // as events and makes no decisions.
 //
 // A worker that restarts under its id is another incarnation, which no header of a call
-// tells apart: its clock and the numbers of its ends start anew. A call tells values, or has
-// an order, only on a connection on which the incarnation that it is for has answered. Such
-// a connection doesn't outlive the incarnation. The first call on a connection is a poll
-// that tells nothing.
+// tells apart: its clock and the numbers of its ends start anew. Two rules keep the values
+// of one incarnation from another one:
+//
+//   - A call tells values, or has an order, only on a connection on which the incarnation
+//     that it is for has answered. Such a connection doesn't outlive the incarnation. The
+//     first call on a connection is a poll that tells nothing.
+//   - A call without an answer may be executed later, whoever is there by then. A new
+//     incarnation is accepted, so that work can start there, once it has answered a poll
+//     with a higher fence than all calls to earlier ones, which it refuses from then on.
 package commander
 
 import (
@@ -55,8 +60,13 @@
 	Submit(epoch int64, e leader.Event)
 }
 
-// errNotSent marks the errors of orders that were not sent.
-var errNotSent = errors.New("order was not sent")
+var (
+	// errNotSent marks the errors of orders that were not sent.
+	errNotSent = errors.New("order was not sent")
+	// errNoFence is the error of polls that another incarnation answers while the log has
+	// not confirmed a fence above those of earlier calls.
+	errNoFence = errors.New("no fence is confirmed above those of calls to an earlier incarnation")
+)
 
 // Commander calls the workers of one leader. Set the exported fields, call Start
 // before any other method, and Wait after the context has ended.
@@ -68,6 +78,7 @@
 	Lease         time.Duration    // length of the leases
 	Renewal       time.Duration    // calls are permitted only this long after the leader was last confirmed
 	LastConfirmed func() time.Time // returns when the leader was last confirmed
+	Fence         func() int64     // returns the highest fence that calls may have; nil for the epoch
 	Polls         metrics.Timer
 	Orders        metrics.Timer
 
@@ -75,6 +86,7 @@
 	group  errgroup.Group
 	mu     sync.Mutex
 	states map[string]*workerState
+	floor  int64 // no call to a worker that is not watched any more has a higher fence
 }
 
 // Start prepares the commander. The context bounds all its calls.
@@ -106,6 +118,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	s := &workerState{address: e.Address, cancel: cancel, silences: 1, orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
+	s.fence = max(c.floor, e.Floor)
 	c.states[e.Worker] = s
 	c.mu.Unlock()
 	c.group.Go(func() error {
@@ -120,7 +133,7 @@
 	defer c.mu.Unlock()
 	if s, ok := c.states[e.Worker]; ok {
 		s.cancel()
-		s.close()
+		c.floor = max(c.floor, s.close())
 		delete(c.states, e.Worker)
 	}
 }
@@ -218,9 +231,7 @@
 	if !l.answered {
 		wait = 0
 	}
-	a := c.pollAttempt(worker, s, l, time.Now())
-	report, err := l.Poll(ctx, a.to, wait)
-	c.Polls.UpdateSince(a.sent)
+	a, report, err := c.ask(ctx, worker, s, l, wait)
 	if err != nil {
 		l.Close()
 	}
@@ -244,32 +255,75 @@
 	return nil
 }
 
+// ask polls a worker on a line. If another incarnation than the one heard last answers, it
+// polls again with a higher fence.
+func (c *Commander) ask(ctx context.Context, worker string, s *workerState, l *line, wait time.Duration) (attempt, leader.Report, error) {
+	a := c.pollAttempt(worker, s, l, time.Now())
+	report, err := l.Poll(ctx, a.to, wait)
+	c.Polls.UpdateSince(a.sent)
+	if err != nil || s.admits(report.Incarnation, a.to.Fence) {
+		return a, report, err
+	}
+	a.to.Fence, a.to.Values, a.sent = c.fence(), Values{}, time.Now()
+	if !s.admits(report.Incarnation, a.to.Fence) {
+		return a, report, errNoFence
+	}
+	c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch, "incarnation": report.Incarnation, "fence": a.to.Fence}).
+		Info("another incarnation answers; calls to earlier ones are fenced off")
+	s.raise(a.to.Fence)
+	report, err = l.Poll(ctx, a.to, 0)
+	c.Polls.UpdateSince(a.sent)
+	if err == nil && !s.admits(report.Incarnation, a.to.Fence) {
+		err = errNoFence
+	}
+	return a, report, err
+}
+
 // handleFailure submits the failure of a poll, unless it tells nothing of the worker.
 func (c *Commander) handleFailure(worker string, s *workerState, l *line, a attempt, err error) {
 	c.Logger.WithFields(logrus.Fields{"worker": worker, "epoch": c.Epoch}).WithError(err).Debug("worker poll failed")
-	if l.answered && classifier.Is(err, classifier.Unsent) {
+	switch {
+	case errors.Is(err, errNoFence), l.answered && classifier.Is(err, classifier.Unsent):
 		return
+	case classifier.Is(err, classifier.Fenced) && s.raised(a.to.Fence):
+		return // a call with the higher fence has overtaken the poll
 	}
 	if deadline, missed := s.recordMiss(a.heard); missed {
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline})
 	}
 }
 
+// fence returns the highest fence that calls may have. It rises while the log takes the
+// leader's records, and stays below those of later leaders.
+func (c *Commander) fence() int64 {
+	if c.Fence == nil {
+		return c.Epoch
+	}
+	return max(c.Epoch, c.Fence())
+}
+
 // pollAttempt returns a poll on a line. It tells the worker values only if the incarnation
 // for which they are valid has answered on the line.
 func (c *Commander) pollAttempt(worker string, s *workerState, l *line, now time.Time) attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := attempt{to: c.target(worker, l), heard: s.incarnation, sent: now}
+	a := attempt{to: c.target(worker, s, l), heard: s.incarnation, sent: now}
 	if s.usable(l) {
 		a.to.Values = c.renewal(s, now).WithAcked(s.acked)
 	}
 	return a
 }
 
-// target returns the target of a call on a line that tells no values.
-func (c *Commander) target(worker string, l *line) Target {
-	return Target{Worker: worker, Address: l.address, Fence: c.Epoch}
+// target returns the target of a call on a line that tells no values. The caller holds
+// the lock of the worker's state.
+func (c *Commander) target(worker string, s *workerState, l *line) Target {
+	to := Target{Worker: worker, Address: l.address, Fence: s.fence}
+	if !s.heard {
+		to.Fence = c.fence()
+	} else if !s.usable(l) {
+		to.Fence = max(s.fence, s.raisedTo)
+	}
+	return to
 }
 
 // renewal returns values that renew leases. Leases are renewed once the leader has heard
@@ -301,7 +355,7 @@
 	if !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation {
 		return Target{}, false
 	}
-	to := c.target(o.Worker, l)
+	to := c.target(o.Worker, s, l)
 	if s.leaseDeadline == 0 {
 		to.Values = c.renewal(s, now)
 	} else {
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -26,6 +26,8 @@
 	refuse error // result of orders
 	polls  []commander.Target
 	acked  []int64
+	fence  atomic.Int64  // rises with each look at it, as with the records of a leader
+	still  atomic.Bool   // the fence doesn't rise, as while the log takes no records
 	hold   time.Duration // how long a poll waits that may wait, 0 for a short while
 }
 
@@ -132,6 +134,12 @@
 	sink := &events{}
 	c := &commander.Commander{
 		Workers: w, Sink: sink, Logger: logger, Epoch: 7, Lease: 6 * time.Second, Renewal: time.Second, LastConfirmed: confirmed,
+		Fence: func() int64 {
+			if w.still.Load() {
+				return 7 + w.fence.Load()
+			}
+			return 7 + w.fence.Add(1)
+		},
 		Polls: metrics.NewTimer(), Orders: metrics.NewTimer(),
 	}
 	sink.renew = c.Renew
@@ -386,3 +394,28 @@
 		set(time.Now())
 	}
 }
+
+// Guards against calls that a worker executes late, when it is watched anew: it has to have
+// seen a higher fence than theirs first.
+func TestAWorkerThatIsWatchedAnewFencesOffEarlierCalls(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}
+	c, sink := start(t, w, time.Now)
+	awaitPolls(t, w, 2)
+	w.still.Store(true)
+	earlier, _ := w.seen()
+	c.Unwatch(leader.StopPolling{Worker: "w"})
+	w.set(leader.Report{Incarnation: 2, Clock: 10}, nil)
+	c.Watch(leader.StartPolling{Worker: "w", Address: "a"})
+	awaitPolls(t, w, 1)
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, len(sink.reports(2)), 0)
+	w.still.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(sink.reports(2)) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no report yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	polls, _ := w.seen()
+	assert.Assert(t, polls[len(polls)-1].Fence > earlier[len(earlier)-1].Fence)
+}
--- a/internal/commands/commander/incarnation_test.go
+++ b/internal/commands/commander/incarnation_test.go
@@ -21,14 +21,17 @@
 // rounds is how often the scripts of one check are drawn.
 const rounds = 20
 
-// newModel returns a commander of a model worker.
+// newModel returns a commander of a model worker. Its fence rises with the heartbeats of a
+// leader.
 func newModel(ctx context.Context) (*model, *follower) {
 	logger, _ := test.NewNullLogger()
 	m := &model{}
 	m.begin(longUptime)
 	f := &follower{model: m}
+	began := time.Now()
 	f.commander = &commander.Commander{
-		Workers: m, Sink: f, Logger: logger, Epoch: 7, Lease: longestHold, Renewal: time.Second, LastConfirmed: time.Now,
+		Workers: m, Sink: f, Logger: logger, Epoch: 7, Lease: lease, Renewal: time.Second, LastConfirmed: time.Now,
+		Fence: func() int64 { return 7 + int64(time.Since(began)/(200*time.Millisecond)) },
 		Polls: metrics.NilTimer{}, Orders: metrics.NilTimer{},
 	}
 	f.commander.Start(ctx)
@@ -40,10 +43,15 @@
 func drawFate(t *rapid.T) fate {
 	f := fate{executed: true, answered: true}
 	switch rapid.IntRange(0, 9).Draw(t, "fate") {
-	case 8:
+	case 6:
 		f.executed, f.answered = false, false // lost
-	case 9:
+	case 7:
 		f.answered = false // its answer is lost
+	case 8:
+		f.executed, f.answered = false, false
+		f.again = milliseconds(t, "late", 1, 12000)
+	case 9:
+		f.again = milliseconds(t, "doubled", 1, 12000)
 	}
 	return f
 }
@@ -86,7 +94,7 @@
 
 // Guards against calls that another incarnation of a worker executes than the one that they
 // are for (review/3: done tasks ran again; review/4: leases an hour too long). Restarts take
-// any time; calls are lost before or after they are executed.
+// any time; calls are lost before or after they are executed, executed late, or twice.
 func TestNoIncarnationReceivesTheValuesOfAnotherOne(t *testing.T) {
 	for range rounds {
 		rapid.Check(t, func(rt *rapid.T) {
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -14,14 +14,16 @@
 const (
 	callTimeout = 600 * time.Millisecond
 	workTime    = 50 * time.Millisecond
-	longestHold = 6 * time.Second
-	longUptime  = time.Hour // of the first incarnation
+	lease       = 6 * time.Second
+	longestHold = 10 * time.Second // longest lease that the worker grants
+	longUptime  = time.Hour        // of the first incarnation
 )
 
 // fate is what becomes of a call.
 type fate struct {
-	executed bool
-	answered bool
+	executed bool          // it is executed when it is sent
+	answered bool          // and answered
+	again    time.Duration // 0, or how long after it was sent it is executed, for the first time or again
 }
 
 // incarnation is one life of the model worker.
@@ -46,7 +48,7 @@
 func (i *incarnation) clock() int64 { return time.Since(i.began).Milliseconds() }
 
 // model is the worker of the platform's page: it restarts under its id, and calls to it
-// are lost. It takes note of what an incarnation must not receive.
+// are lost, delayed and doubled. It takes note of what an incarnation must not receive.
 type model struct {
 	mu      sync.Mutex
 	current *incarnation // nil while it is down
@@ -144,6 +146,15 @@
 	}
 	lost := m.current != to || !f.answered
 	m.mu.Unlock()
+	if f.again > 0 {
+		time.AfterFunc(f.again, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.current != nil {
+				_ = apply(m.current, to)
+			}
+		})
+	}
 	if lost {
 		return nil, c.unanswered(ctx, to)
 	}
@@ -310,7 +321,7 @@
 		}
 		f.known = max(f.known, at.number)
 		at.told = max(at.told, e.Deadline)
-		if e.Deadline > at.clock()+longestHold.Milliseconds() {
+		if e.Deadline > at.clock()+lease.Milliseconds() {
 			f.model.violate("leases of incarnation %d can't last until %d, as the leader is told at %d", at.number, e.Deadline, at.clock())
 		}
 		for _, end := range e.Report.Ended {
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -14,6 +14,8 @@
 	address      string
 	life                       // valid if heard
 	heard        bool          // a report has been accepted
+	fence        int64         // of the calls that tell values; no earlier one had a higher one
+	raisedTo     int64         // highest fence with which another incarnation was polled; it may have seen it
 	idle         []*line       // lines on which the incarnation has answered, the last used last
 	closed       bool          // the worker is not watched any more
 	ackChanged   chan struct{} // signaled when acked or renewedIn changes
@@ -47,12 +49,14 @@
 	return true
 }
 
-// close closes the idle lines, and those that are released later.
-func (s *workerState) close() {
+// close closes the idle lines, and those that are released later. It returns the highest
+// fence that a call to the worker may have.
+func (s *workerState) close() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	s.closeIdle()
+	return s.fence
 }
 
 // signal wakes awaitLeader. The caller holds the lock.
@@ -83,6 +87,29 @@
 	return s.acked >= s.lastEnd && s.renewedIn == s.silences
 }
 
+// admits reports whether a report that was asked for with a fence may be accepted. A new
+// incarnation has to have seen a higher fence than the calls to earlier ones: one of those
+// that got no answer may still be on its way, and is refused from then on.
+func (s *workerState) admits(incarnation, fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard && incarnation <= s.incarnation || fence > s.fence
+}
+
+// raise has later polls of other incarnations sent with a fence.
+func (s *workerState) raise(fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raisedTo = max(s.raisedTo, fence)
+}
+
+// raised reports whether the worker may have seen a higher fence by now.
+func (s *workerState) raised(fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fence < max(s.fence, s.raisedTo)
+}
+
 // recordMiss records a poll without an answer that was sent after an incarnation had been
 // heard, unless another one has been heard since, which it returns as false. It resets
 // acked: what the worker reports after that is acknowledged anew. It returns the latest
@@ -120,6 +147,7 @@
 		s.heard, s.life = true, life{incarnation: r.Incarnation}
 		s.closeIdle()
 	}
+	s.fence = max(s.fence, a.to.Fence)
 	for _, e := range r.Ended {
 		s.lastEnd = max(s.lastEnd, e.Number)
 	}
--- a/internal/commands/commander/target.go
+++ b/internal/commands/commander/target.go
@@ -1,6 +1,6 @@
 package commander
 
-// Target is the worker that a call is for, with the leader's epoch and the values that
+// Target is the worker that a call is for, with the leader's fence and the values that
 // hold for one incarnation of the worker.
 type Target struct {
 	Worker  string
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -39,6 +39,9 @@
 	// lostPause is how long a lost deputy that is still linked gets no workers, since
 	// each loss makes the outcome of its orders unknown.
 	lostPause = 5 * time.Second
+	// fenceWait bounds the wait for a fence above those of earlier callers. It is twice the
+	// time between two heartbeats, with each of which the fence rises.
+	fenceWait = 400 * time.Millisecond
 	// MaxGrant is how long a deputy goes on without a confirmation by the leader.
 	MaxGrant = 2 * time.Second
 )
@@ -87,9 +90,10 @@
 	Logger    logrus.FieldLogger
 	Epoch     int64
 	Lease     time.Duration
-	MayGrant  func() bool // whether the leader was confirmed lately enough to grant MaxGrant more
-	MaxLocal  int         // workers up to which the leader calls all itself; 0 for the defaults of both
-	MinLocal  int         // workers that it calls itself if there are more; 0 for MaxLocal
+	MayGrant  func() bool  // whether the leader was confirmed lately enough to grant MaxGrant more
+	Fence     func() int64 // returns the highest fence that calls to workers may have; nil for the epoch
+	MaxLocal  int          // workers up to which the leader calls all itself; 0 for the defaults of both
+	MinLocal  int          // workers that it calls itself if there are more; 0 for MaxLocal
 	ctx       context.Context
 	group     errgroup.Group
 	mu        sync.Mutex
@@ -181,7 +185,7 @@
 		return nil
 	})
 	for id, a := range moved {
-		d.assign(id, a.watch)
+		d.assign(id, d.moved(a.watch))
 	}
 }
 
@@ -219,10 +223,17 @@
 			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id})
 			return nil
 		})
-		d.assignTo(p, id, a.watch)
+		d.assignTo(p, id, d.moved(a.watch))
 	}
 }
 
+// moved returns the watch of a worker that gets another caller: calls of the earlier one
+// may still be executed.
+func (d *Delegator) moved(watch leader.StartPolling) leader.StartPolling {
+	watch.Floor = d.fence()
+	return watch
+}
+
 // assign assigns a worker to the leader or to a deputy and starts its polling. The
 // caller holds the lock.
 func (d *Delegator) assign(id string, watch leader.StartPolling) {
@@ -277,6 +288,7 @@
 			continue
 		case <-p.wake:
 		}
+		d.awaitFence(ctx, p)
 		d.mu.Lock()
 		if d.deputies[p.entry.Name] != p {
 			d.mu.Unlock()
@@ -285,7 +297,7 @@
 		if p.began.IsZero() {
 			p.began = time.Now()
 		}
-		batch := Commands{Epoch: d.Epoch, Session: p.session, Lease: d.Lease, List: p.commands}
+		batch := Commands{Epoch: d.Epoch, Session: p.session, Lease: d.Lease, Fence: d.fence(), List: p.commands}
 		p.commands = nil
 		d.mu.Unlock()
 		bounded, cancel := context.WithTimeout(ctx, commandTimeout)
@@ -303,6 +315,24 @@
 	}
 }
 
+// awaitFence waits until the fence is above those of earlier callers of the workers that a
+// deputy is about to be given, as it accepts no reports of them before.
+func (d *Delegator) awaitFence(ctx context.Context, p *deputy) {
+	ctx, cancel := context.WithTimeout(ctx, fenceWait)
+	defer cancel()
+	d.mu.Lock()
+	var floor int64
+	for _, c := range p.commands {
+		if c.Watch != nil {
+			floor = max(floor, c.Watch.Floor)
+		}
+	}
+	d.mu.Unlock()
+	for floor > 0 && d.fence() <= floor && ctx.Err() == nil {
+		timer.Sleep(ctx, flushInterval)
+	}
+}
+
 // checkReports loses a deputy that has workers and does not report.
 func (d *Delegator) checkReports(p *deputy) {
 	d.mu.Lock()
@@ -406,15 +436,23 @@
 	return nil
 }
 
-// Report submits the events of a deputy and reports whether it is confirmed: not if
-// the leader itself was not confirmed lately. An error means that the session is over.
-func (d *Delegator) Report(entry string, e Events) (bool, error) {
+// fence returns the highest fence that calls may have.
+func (d *Delegator) fence() int64 {
+	if d.Fence == nil {
+		return d.Epoch
+	}
+	return d.Fence()
+}
+
+// Report submits the events of a deputy. The answer confirms the deputy unless the leader
+// itself was not confirmed lately. An error means that the session is over.
+func (d *Delegator) Report(entry string, e Events) (Confirmation, error) {
 	now := time.Now()
 	d.mu.Lock()
 	p, ok := d.deputies[entry]
 	if !ok || p.session != e.Session || e.Epoch != d.Epoch {
 		d.mu.Unlock()
-		return false, errOutdated
+		return Confirmation{}, errOutdated
 	}
 	p.reported = now
 	for _, event := range e.List {
@@ -433,7 +471,7 @@
 	if len(events) > 0 {
 		d.Sink.Submit(d.Epoch, leader.Batch{Events: events})
 	}
-	return d.MayGrant(), nil
+	return Confirmation{Confirmed: d.MayGrant(), Fence: d.fence()}, nil
 }
 
 // since returns the leader's event for that of a deputy whose session began at a time
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +32,7 @@
 	orders    []leader.Order
 	held      chan struct{} // if set, orders wait until it is closed
 	cancelled int           // polls that were cancelled
+	fence     int64         // of the last poll
 }
 
 func (w *workers) Order(ctx context.Context, _ commander.Target, o leader.Order) error {
@@ -53,6 +56,7 @@
 func (w *workers) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
 	w.mu.Lock()
 	w.deadlines = append(w.deadlines, to.Values.Deadline())
+	w.fence = to.Fence
 	w.mu.Unlock()
 	if wait > 0 {
 		select {
@@ -66,6 +70,13 @@
 	return leader.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}, nil
 }
 
+// lastFence returns the fence of the last poll, 0 if there was none.
+func (w *workers) lastFence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 func (w *workers) orderCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -104,16 +115,25 @@
 	s.events = append(s.events, e)
 }
 
+func (s *sink) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = nil
+}
+
+// has reports whether an event satisfies a condition.
+func (s *sink) has(is func(leader.Event) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.events, is)
+}
+
 // await waits until an event satisfies a condition.
 func (s *sink) await(t *testing.T, what string, is func(leader.Event) bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, e := range s.events {
-			if is(e) {
-				return poll.Success()
-			}
+		if s.has(is) {
+			return poll.Success()
 		}
 		return poll.Continue("%s", what)
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
@@ -171,6 +191,8 @@
 	grants    bool
 	slow      time.Duration // how long a deputy's events take to the leader
 	ctx       context.Context
+	fence     atomic.Int64 // rises with each look at it, as with the records of a leader
+	still     atomic.Bool  // the fence doesn't rise, as while the log takes no records
 }
 
 // Command passes commands on to a deputy.
@@ -190,12 +212,12 @@
 	entry string
 }
 
-func (l link) ReportEvents(_ context.Context, e delegator.Events) (bool, error) {
+func (l link) ReportEvents(_ context.Context, e delegator.Events) (delegator.Confirmation, error) {
 	l.cell.mu.Lock()
 	cut, slow := l.cell.cut[l.entry], l.cell.slow
 	l.cell.mu.Unlock()
 	if cut {
-		return false, errCut
+		return delegator.Confirmation{}, errCut
 	}
 	time.Sleep(slow)
 	return l.cell.delegator.Report(l.entry, e)
@@ -222,6 +244,12 @@
 	c := &cell{local: &caller{}, sink: &sink{}, deputies: map[string]*delegator.Deputy{}, workers: map[string]*workers{}, cut: map[string]bool{}, grants: true, ctx: ctx}
 	c.delegator = &delegator.Delegator{
 		Local: c.local, Link: c, Sink: c.sink, Logger: logger, Epoch: epoch, Lease: 6 * time.Second, MaxLocal: maxLocal,
+		Fence: func() int64 {
+			if c.still.Load() {
+				return epoch + c.fence.Load()
+			}
+			return epoch + c.fence.Add(1)
+		},
 		MayGrant: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -390,6 +418,34 @@
 	assert.Equal(t, c.local.count(), 1)
 }
 
+// Guards against calls of a lost deputy that a worker executes late, at another incarnation:
+// the next caller accepts what the worker reports only once it has seen a higher fence than
+// the lost deputy can have sent.
+func TestTheNextCallerOfAWorkerFencesOffTheLostOne(t *testing.T) {
+	c := newCell(t, -1, "a", "b")
+	c.delegator.Watch(watch("w"))
+	c.sink.await(t, "report", reported("w"))
+	lost, next := "a", "b"
+	if c.workers["b"].lastFence() > 0 {
+		lost, next = "b", "a"
+	}
+	c.still.Store(true)
+	c.setCut(lost)
+	c.sink.await(t, "leases of the lost deputy", func(e leader.Event) bool { return e == leader.PollerLost{Worker: "w"} })
+	c.sink.clear()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.workers[next].lastFence() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the next caller has not polled yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !c.sink.has(reported("w")))
+	c.still.Store(false)
+	c.sink.await(t, "report", reported("w"))
+	assert.Assert(t, c.workers[next].lastFence() > c.workers[lost].lastFence())
+}
+
 // A deputy that the leader no longer confirms renews no leases and sends no orders:
 // the leader may have been replaced, or this process was paused.
 func TestAPermissionOfADeputyExpires(t *testing.T) {
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -29,9 +29,8 @@
 
 // Leader takes the events of deputies.
 type Leader interface {
-	// ReportEvents passes a batch on to the leader and returns whether it confirms
-	// that this deputy may go on.
-	ReportEvents(ctx context.Context, e Events) (bool, error)
+	// ReportEvents passes a batch on to the leader and returns its answer.
+	ReportEvents(ctx context.Context, e Events) (Confirmation, error)
 }
 
 // Deputy is an entry's end: it calls workers for the leader. Set the exported fields
@@ -59,6 +58,7 @@
 	cancel    context.CancelFunc
 	ended     atomic.Bool
 	confirmed atomic.Pointer[time.Time] // when the batch was sent that the leader last confirmed
+	fence     atomic.Int64              // highest fence that calls may have, as the leader has last said
 
 	mu     sync.Mutex
 	events []Event
@@ -80,6 +80,7 @@
 	case c.Epoch != s.epoch || c.Session != s.number || s.ended.Load():
 		return errOutdated
 	}
+	s.raiseFence(c.Fence)
 	for _, command := range c.List {
 		s.do(command)
 	}
@@ -95,7 +96,7 @@
 	logger := d.Logger.WithFields(logrus.Fields{"epoch": c.Epoch, "session": c.Session})
 	s.commander = &commander.Commander{
 		Workers: d.Workers, Sink: s, Logger: logger, Epoch: c.Epoch, Lease: c.Lease, Renewal: MaxGrant,
-		LastConfirmed: func() time.Time { return *s.confirmed.Load() }, Polls: d.Polls, Orders: d.Orders,
+		LastConfirmed: func() time.Time { return *s.confirmed.Load() }, Fence: s.fence.Load, Polls: d.Polls, Orders: d.Orders,
 	}
 	s.commander.Start(ctx)
 	d.current = s
@@ -122,6 +123,17 @@
 	}
 }
 
+// raiseFence raises the fence that calls may have. The answers of the leader and its
+// commands may overtake each other.
+func (s *session) raiseFence(fence int64) {
+	for {
+		known := s.fence.Load()
+		if fence <= known || s.fence.CompareAndSwap(known, fence) {
+			return
+		}
+	}
+}
+
 func (s *session) do(c Command) {
 	switch {
 	case c.Watch != nil:
@@ -171,13 +183,14 @@
 		s.mu.Unlock()
 		sent := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
-		confirmed, err := s.deputy.Leader.ReportEvents(bounded, batch)
+		answer, err := s.deputy.Leader.ReportEvents(bounded, batch)
 		cancel()
 		if err != nil {
 			s.deputy.Logger.WithField("epoch", s.epoch).WithError(err).Info("the leader takes no events")
 			return // it counts the deputy as lost, too
 		}
-		if confirmed {
+		s.raiseFence(answer.Fence)
+		if answer.Confirmed {
 			s.confirmed.Store(&sent)
 		}
 		timer.Sleep(ctx, flushInterval)
--- a/internal/commands/delegator/messages.go
+++ b/internal/commands/delegator/messages.go
@@ -21,6 +21,7 @@
 	Epoch   int64
 	Session int64         // a deputy begins anew in each session
 	Lease   time.Duration // length of the leases at workers
+	Fence   int64         // highest fence that calls to workers may have
 	List    []Command
 }
 
@@ -46,3 +47,9 @@
 	Session int64
 	List    []Event
 }
+
+// Confirmation is the leader's answer to a batch of events.
+type Confirmation struct {
+	Confirmed bool  // the deputy may go on for MaxGrant
+	Fence     int64 // as in Commands
+}
--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -52,6 +52,7 @@
 	Sink    Sink
 	Logger  logrus.FieldLogger
 	Lead    keeper.LeaderRecord
+	End     int64 // end of the stream of runs when the leader had read all that earlier ones wrote
 	Appends metrics.Timer
 
 	mu       sync.Mutex
@@ -62,6 +63,7 @@
 	sequence int64
 	latency  time.Duration             // moving average of successful appends
 	lastSent atomic.Pointer[time.Time] // when the last successful append was first sent
+	lastAt   atomic.Int64              // offset of the last successful append
 }
 
 // pendingRecord is the latest unwritten record of a job, and the batch of the
@@ -120,6 +122,11 @@
 	return time.Time{}
 }
 
+// Fence returns a fence for calls to workers. It rises with the leader's records, is
+// higher than the fences of all earlier leaders and lower than those of all later ones:
+// these begin with the end of the stream, which is past every record of this leader.
+func (r *Recorder) Fence() int64 { return max(r.Lead.Epoch, r.End+1, r.lastAt.Load()+1) }
+
 // batch is one append.
 type batch struct {
 	number  int64 // last batch of decisions that is written completely with it
@@ -216,7 +223,7 @@
 	firstSent := time.Now()
 	for attempt := 0; ; attempt++ {
 		began := time.Now()
-		_, err := r.Log.Append(ctx, replicator.Append{
+		position, err := r.Log.Append(ctx, replicator.Append{
 			Stream: keeper.Runs, Values: b.values, Writer: Writer, Epoch: r.Lead.Epoch, Sequence: r.sequence, Timeout: timeout,
 		})
 		r.Appends.UpdateSince(began)
@@ -225,6 +232,7 @@
 				r.Logger.WithField("attempt", attempt).Info("log accepts records again")
 			}
 			r.lastSent.Store(&firstSent)
+			r.lastAt.Store(max(r.lastAt.Load(), position.First))
 			r.latency += time.Duration(latencyWeight * float64(time.Since(began)-r.latency))
 			return true
 		}
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -21,6 +21,9 @@
 	"github.com/endivelock/endivelock/internal/replicator"
 )
 
+// firstOffset is the offset before that of the first append.
+const firstOffset = 100
+
 // log records appends and fails those that a test chooses.
 type log struct {
 	mu      sync.Mutex
@@ -43,7 +46,7 @@
 	if fail != nil {
 		return replicator.Position{}, fail(n)
 	}
-	return replicator.Position{}, nil
+	return replicator.Position{First: firstOffset + int64(n)}, nil
 }
 
 func (l *log) all() []replicator.Append {
@@ -382,3 +385,21 @@
 	default:
 	}
 }
+
+// Guards against calls of an earlier leader, or to an earlier incarnation, that a worker
+// executes late: it refuses them only if fences rise, from one leader to the next and with
+// the records of each.
+func TestFencesRiseWithTheRecordsOfALeader(t *testing.T) {
+	logger, _ := test.NewNullLogger()
+	first := &recorder.Recorder{Logger: logger, Lead: keeper.LeaderRecord{Epoch: 9}, End: firstOffset}
+	assert.Equal(t, first.Fence(), int64(firstOffset+1), "the stream ends after records of earlier leaders that are past the claim")
+	l := &log{}
+	r, s := serve(t, l)
+	wait(t, "the first heartbeat is written", func() bool { return r.Fence() == firstOffset+2 })
+	r.Put(record(1, "a"))
+	wait(t, "the record is written", func() bool { return s.batches() == 1 })
+	last := r.Fence()
+	assert.Assert(t, last > firstOffset+2)
+	next := &recorder.Recorder{Logger: logger, Lead: keeper.LeaderRecord{Epoch: 10}, End: firstOffset + int64(len(l.all())) + 1}
+	assert.Assert(t, next.Fence() > last, "the stream ends past all records")
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -175,7 +175,7 @@
 
 func (e *Entry) policy() keeper.Policy {
 	return keeper.Policy{
-		Leader:             leader.Policy{Lease: min(e.settings.Lease, maxLease), MaxStaleRenewal: renewalWindow, MinPassInterval: minPlacementInterval},
+		Leader:             leader.Policy{Lease: min(e.settings.Lease, maxLease), LongestLease: e.settings.Lease, MaxStaleRenewal: renewalWindow, MinPassInterval: minPlacementInterval},
 		LeaderTimeout:      leaderTimeout,
 		LinkLostTimeout:    linkLostTimeout,
 		UnreachableTimeout: unreachableTimeout,
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -136,15 +136,15 @@
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
 	c := &leaderServices{epoch: epoch, cancel: cancel, workers: map[string]leader.Listing{}}
-	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, Appends: e.metricTimer("append.runs")}
+	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, End: e.controller.Snapshot().Offset(keeper.Runs), Appends: e.metricTimer("append.runs")}
 	c.announcer = &announcer.Announcer{Log: e.relayer, Logger: logger, Lead: lead, Standbys: e.linker.Standbys}
 	c.commander = &commander.Commander{
 		Workers: e.ports.Workers, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: min(e.settings.Lease, maxLease), Renewal: renewalWindow,
-		LastConfirmed: c.recorder.LastConfirmed, Polls: e.metricTimer("worker.looks"), Orders: e.metricTimer("worker.orders"),
+		LastConfirmed: c.recorder.LastConfirmed, Fence: c.recorder.Fence, Polls: e.metricTimer("worker.looks"), Orders: e.metricTimer("worker.orders"),
 	}
 	c.commander.Start(ctx)
 	c.delegator = &delegator.Delegator{
-		Local: c.commander, Link: e.linker, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: c.commander.Lease,
+		Local: c.commander, Link: e.linker, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: c.commander.Lease, Fence: c.recorder.Fence,
 		MayGrant: func() bool {
 			return timer.Elapsed(c.recorder.LastConfirmed(), time.Now()) < renewalWindow-delegator.MaxGrant
 		},
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -42,11 +42,13 @@
 	SpeedPercent int
 }
 
-// StartPolling starts the periodic polling of a worker, or continues it at a new address.
+// StartPolling starts the periodic polling of a worker, or continues it at a new address. No call
+// of an earlier caller has a higher fence than Floor; the leader itself leaves it 0.
 type StartPolling struct {
 	Worker  string
 	Address string
 	Zone    string
+	Floor   int64
 }
 
 // StopPolling stops the polling of a worker.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,6 +28,7 @@
 // Policy holds the settings that decisions depend on.
 type Policy struct {
 	Lease           time.Duration // how long a worker keeps its tasks without being polled
+	LongestLease    time.Duration // longest lease that a worker grants; 0 for Lease
 	MaxStaleRenewal time.Duration // longest time that a deposed leader may renew leases without the log
 	Placer          placer.Placer // chooses among the workers with room; nil means placer.BestFit
 	MinPassInterval time.Duration // least time between two placement passes; 0 runs one after each event
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -85,6 +85,26 @@
 	assert.Assert(t, h.now.Sub(silent) >= testLease && h.now.Sub(silent) < testLease+time.Second, "given up after %v", h.now.Sub(silent))
 }
 
+// Guards against a task that runs in two places: a call to an earlier incarnation, executed
+// late by the next one, had brought it the longest lease that a worker grants.
+func TestARestartedWorkerMayHaveTheLongestLease(t *testing.T) {
+	const longest = testLease + 4*time.Second
+	h := newHarness(t, 0, ledger.Resources{})
+	h.state = leader.New(leader.Policy{Lease: testLease, LongestLease: longest, MaxStaleRenewal: 5 * time.Second}, h.now)
+	h.apply(leader.Listed{Listing: leader.Listing{ID: "w00", Address: "w00", Service: "s", Capacity: ledger.Resources{CPU: 2000}}})
+	h.report("w00")
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, Estimate: time.Minute})
+	assert.Equal(t, len(h.running), 1)
+	r := leader.Report{Incarnation: 2, Clock: 100, Running: []leader.RunStatus{{Task: "j.0.0.0", Number: 1, Percent: 10}}}
+	h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now})
+	silent := h.now
+	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 2})
+	for h.lostRuns() == 0 && h.now.Sub(silent) < time.Minute {
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, h.now.Sub(silent) >= longest && h.now.Sub(silent) < longest+time.Second, "given up after %v", h.now.Sub(silent))
+}
+
 // Guards against a task on a worker of another kind: a worker that had restarted under its
 // id was given work by the labels and the room of its earlier incarnation.
 func TestNothingStartsAtARestartedWorkerBeforeItIsListedAgain(t *testing.T) {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -118,7 +118,13 @@
 		t.emit(Decision{What: "heard", Worker: w.ID, Why: "report of incarnation " + time.UnixMilli(e.Report.Incarnation).UTC().Format(time.RFC3339)})
 		t.placementDue = true
 	}
-	w = w.WithReport(e.Report, e.Deadline, t.policy.Lease, t.now)
+	longest := t.policy.Lease
+	if restarted {
+		// A call to an earlier incarnation may have been executed late, with a deadline on
+		// a clock that was far ahead.
+		longest = max(longest, t.policy.LongestLease)
+	}
+	w = w.WithReport(e.Report, e.Deadline, longest, t.now)
 	t.setWorker(w)
 	if e.Silences != 0 {
 		t.emit(Renew{Worker: w.ID, Silences: e.Silences})
--- a/internal/linker/deputy.go
+++ b/internal/linker/deputy.go
@@ -16,7 +16,8 @@
 }
 
 type eventsAnswer struct {
-	Confirmed bool `json:"confirmed"`
+	Confirmed bool  `json:"confirmed"`
+	Fence     int64 `json:"fence"`
 }
 
 // Command passes a batch of commands on to a linked entry.
@@ -30,12 +31,11 @@
 	return p.rpc.Call(ctx, methodDo, batchMessage{packer.Commands(c)}, nil)
 }
 
-// ReportEvents passes a batch of events on to the leader and returns whether it
-// confirms this deputy.
-func (l *Linker) ReportEvents(ctx context.Context, e delegator.Events) (bool, error) {
+// ReportEvents passes a batch of events on to the leader and returns its answer.
+func (l *Linker) ReportEvents(ctx context.Context, e delegator.Events) (delegator.Confirmation, error) {
 	var a eventsAnswer
 	err := l.callLeader(ctx, methodEvents, batchMessage{packer.Events(e)}, &a)
-	return a.Confirmed, err
+	return delegator.Confirmation(a), err
 }
 
 // Entries returns the linked entries.
@@ -92,5 +92,5 @@
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: codeNotDone, Message: err.Error()}
 	}
-	return eventsAnswer{confirmed}, nil
+	return eventsAnswer(confirmed), nil
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -88,7 +88,7 @@
 // Delegator takes the events of deputies while this entry leads.
 type Delegator interface {
 	// Report takes a batch and returns whether the deputy is confirmed.
-	Report(entry string, e delegator.Events) (bool, error)
+	Report(entry string, e delegator.Events) (delegator.Confirmation, error)
 }
 
 // Linker is both ends of the protocol. Set the exported fields, then call Listen
--- a/internal/packer/commands.go
+++ b/internal/packer/commands.go
@@ -23,6 +23,7 @@
 	w.number(c.Epoch)
 	w.number(c.Session)
 	w.number(int64(c.Lease))
+	w.number(c.Fence)
 	packList(w, c.List, (*writer).command)
 	return w.data
 }
@@ -34,6 +35,7 @@
 		w.name(c.Watch.Worker)
 		w.name(c.Watch.Address)
 		w.name(c.Watch.Zone)
+		w.number(c.Watch.Floor)
 	case c.Unwatch != "":
 		w.count(unwatch)
 		w.name(c.Unwatch)
@@ -71,7 +73,7 @@
 // UnpackCommands unpacks a batch of commands. The error is ErrMalformed.
 func UnpackCommands(data []byte) (delegator.Commands, error) {
 	r := &reader{data: data}
-	c := delegator.Commands{Epoch: r.number(), Session: r.number(), Lease: time.Duration(r.number())}
+	c := delegator.Commands{Epoch: r.number(), Session: r.number(), Lease: time.Duration(r.number()), Fence: r.number()}
 	c.List = list(r, (*reader).command)
 	return c, r.end()
 }
@@ -79,7 +81,7 @@
 func (r *reader) command() delegator.Command {
 	switch r.unsigned() {
 	case watch:
-		return delegator.Command{Watch: &leader.StartPolling{Worker: r.name(), Address: r.name(), Zone: r.name()}}
+		return delegator.Command{Watch: &leader.StartPolling{Worker: r.name(), Address: r.name(), Zone: r.name(), Floor: r.number()}}
 	case unwatch:
 		return delegator.Command{Unwatch: r.worker()}
 	case poll:
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -19,10 +19,10 @@
 
 // orders returns a batch of n starts of one job's tasks.
 func orders(n int) delegator.Commands {
-	c := delegator.Commands{Epoch: 7, Session: 2, Lease: 3 * time.Second}
+	c := delegator.Commands{Epoch: 7, Session: 2, Lease: 3 * time.Second, Fence: 40}
 	for i := range n {
 		c.List = append(c.List, delegator.Command{Order: &leader.Order{
-			Worker: fmt.Sprintf("w%d", i), Address: "10.0.0.1:80", Kind: leader.OrderStart, Task: task(i), Run: 2, Spec: "a spec of some length", Ticket: "t",
+			Worker: fmt.Sprintf("w%d", i), Address: "10.0.0.1:80", Incarnation: 1 << 41, Kind: leader.OrderStart, Task: task(i), Run: 2, Spec: "a spec of some length", Ticket: "t",
 		}})
 	}
 	return c
@@ -31,7 +31,7 @@
 func commands() delegator.Commands {
 	c := orders(2)
 	c.List = append(c.List,
-		delegator.Command{Watch: &leader.StartPolling{Worker: "w1", Address: "10.0.0.1:80", Zone: "a"}},
+		delegator.Command{Watch: &leader.StartPolling{Worker: "w1", Address: "10.0.0.1:80", Zone: "a", Floor: 39}},
 		delegator.Command{Unwatch: "w1"}, delegator.Command{Poll: "w0"},
 		delegator.Command{Ack: &leader.Acknowledge{Worker: "w1", Incarnation: -3, Number: 1 << 40}},
 		delegator.Command{Order: &leader.Order{Worker: "w0", Kind: leader.OrderThrottle, Task: task(0), Run: 2, SpeedPercent: 40, Checkpoint: "saved"}},
