--- a/internal/commands/commander/incarnation_test.go
+++ b/internal/commands/commander/incarnation_test.go
@@ -15,11 +15,20 @@
 	"github.com/endivelock/endivelock/internal/leader"
 )
 
-// calm is long enough for all delayed calls to be executed and for the worker to be heard.
-const calm = 20 * time.Second
-
-// rounds is how often the scripts of one check are drawn.
-const rounds = 20
+const (
+	// rounds is how often the scripts of one check are drawn.
+	rounds = 20
+	// shortPause and longPause bound the pauses between events. The short ones let several fall
+	// between two polls.
+	shortPause = 30 * time.Millisecond
+	longPause  = 700 * time.Millisecond
+	// longestRestart bounds the time between a crash and the next incarnation.
+	longestRestart = 900 * time.Millisecond
+	// longestDelay bounds the time after which a call is executed late.
+	longestDelay = 12 * time.Second
+	// calm is long enough for all late calls to be executed and for the worker to be heard.
+	calm = 20 * time.Second
+)
 
 // newModel returns a commander of a model worker. Its fence rises with the heartbeats of a
 // leader.
@@ -49,15 +58,16 @@
 		f.answered = false // its answer is lost
 	case 8:
 		f.executed, f.answered = false, false
-		f.again = milliseconds(t, "late", 1, 12000)
+		f.again = duration(t, "late", time.Millisecond, longestDelay)
 	case 9:
-		f.again = milliseconds(t, "doubled", 1, 12000)
+		f.again = duration(t, "doubled", time.Millisecond, longestDelay)
 	}
 	return f
 }
 
-func milliseconds(t *rapid.T, what string, least, most int) time.Duration {
-	return time.Duration(rapid.IntRange(least, most).Draw(t, what)) * time.Millisecond
+// duration draws whole milliseconds.
+func duration(t *rapid.T, what string, least, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(least.Milliseconds(), most.Milliseconds()).Draw(t, what)) * time.Millisecond
 }
 
 // Kinds of events of a script.
@@ -86,7 +96,9 @@
 		fates: rapid.SliceOfN(rapid.Custom(drawFate), 0, 150).Draw(t, "fates"),
 		events: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 			return event{
-				pause: milliseconds(t, "pause", 0, rapid.SampledFrom([]int{30, 700}).Draw(t, "most")), kind: rapid.IntRange(0, eventKinds-1).Draw(t, "kind"), dark: milliseconds(t, "dark", 0, 900),
+				pause: duration(t, "pause", 0, rapid.SampledFrom([]time.Duration{shortPause, longPause}).Draw(t, "most")),
+				kind:  rapid.IntRange(0, eventKinds-1).Draw(t, "kind"),
+				dark:  duration(t, "dark", 0, longestRestart),
 			}
 		}), 1, 60).Draw(t, "events"),
 	}
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -213,6 +213,7 @@
 	}
 	at.lease = max(at.lease, min(v.Deadline(), at.clock()+longestHold.Milliseconds()))
 	for len(at.ends) > 0 && at.ends[0].Number <= v.Acked() {
+		// The end of a run that was started late may be erased late, too.
 		if e := at.ends[0]; at.direct[e.Run] && !at.read[e.Number] {
 			m.violate("incarnation %d forgets the end of run %d unread", at.number, e.Run)
 		}
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -70,13 +70,6 @@
 	return leader.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}, nil
 }
 
-// lastFence returns the fence of the last poll, 0 if there was none.
-func (w *workers) lastFence() int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.fence
-}
-
 func (w *workers) orderCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/commands/delegator/fence_test.go
+++ b/internal/commands/delegator/fence_test.go
@@ -37,3 +37,10 @@
 	c.sink.await(t, "report", reported("w"))
 	assert.Assert(t, c.workers[next].lastFence() > c.workers[lost].lastFence())
 }
+
+// lastFence returns the fence of the last poll, 0 if there was none.
+func (w *workers) lastFence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
