Accept no commands for a session that waits for its calls

Cause: a deputy's session that has lost the leader waits for its commander, while a command that was checked just before still started calls there. The check and the end of the session were not ordered.

Change: a session ends under the lock that commands hold.

--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -56,7 +56,7 @@
 	commander *commander.Commander
 	group     errgroup.Group
 	cancel    context.CancelFunc
-	ended     atomic.Bool
+	ended     bool                      // by the lock of the deputy
 	confirmed atomic.Pointer[time.Time] // when the batch was sent that the leader last confirmed
 	fence     atomic.Int64              // highest fence that calls may have, as the leader has last said
 
@@ -77,7 +77,7 @@
 			s.cancel()
 		}
 		s = d.begin(ctx, c)
-	case c.Epoch != s.epoch || c.Session != s.number || s.ended.Load():
+	case c.Epoch != s.epoch || c.Session != s.number || s.ended:
 		return errOutdated
 	}
 	s.raiseFence(c.Fence)
@@ -103,7 +103,7 @@
 	logger.Info("calling workers for the leader")
 	s.group.Go(func() error {
 		s.report(ctx)
-		s.ended.Store(true)
+		d.end(s)
 		logger.Info("no longer calling workers for the leader")
 		cancel()
 		s.commander.Wait()
@@ -112,6 +112,14 @@
 	return s
 }
 
+// end refuses further commands of a session. Once it returns, the session's commander gets
+// none any more and can be waited for.
+func (d *Deputy) end(s *session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.ended = true
+}
+
 // Wait returns when no session is in progress. Call it after the context of the last
 // session has ended.
 func (d *Deputy) Wait() {
