Say how long the leases of a silent worker may last, and what bounds that

Cause: a lost run could not be traced.

Change: the lines silent and lost name the bound and where it comes from; a leader also prints silent for workers that it has never heard. The cell line and the metric runs_silent count the runs at workers that don't answer.

Result: no decision changes; the tests of the leader pass.

--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -43,6 +43,7 @@
 	count("workers.listed", func(c leader.Counts) int { return c.Listed })
 	count("workers.heard", func(c leader.Counts) int { return c.Reachable })
 	count("workers.excluded", func(c leader.Counts) int { return c.Excluded })
+	count("runs.silent", func(c leader.Counts) int { return c.SilentRuns })
 	count("advice.asked", func(c leader.Counts) int { return c.AdviceCalls })
 	count("advice.callers", func(c leader.Counts) int { return c.Callers })
 	count("advice.idle", func(c leader.Counts) int { return c.IdleCallers })
@@ -96,7 +97,7 @@
 	c := s.Leader().Counts(now)
 	events, spent := e.controller.Cost()
 	e.logger.WithFields(logrus.Fields{
-		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded,
+		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded, "silentruns": c.SilentRuns,
 		"asks": c.AdviceCalls, "callers": c.Callers, "idle": c.IdleCallers, "pace": c.PaceLimit, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
 	}).Info("cell")
 	for _, w := range s.Leader().Waits(now, longWait, maxLoggedWaits) {
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -74,6 +74,7 @@
 	Listed       int // workers
 	Reachable    int // listed workers whose last poll was answered
 	Excluded     int // workers temporarily barred from new tasks
+	SilentRuns   int // runs at workers that do not answer
 	AdviceCalls  int // advice calls in progress
 	Callers      int // entries that can call for advice
 	IdleCallers  int // of these, without a call in progress or a recent failure
@@ -92,6 +93,9 @@
 	}
 	for _, w := range s.workers.All() {
 		c.Used = c.Used.Plus(w.Used)
+		if w.Reachability != Reachable {
+			c.SilentRuns += w.Placements.Len()
+		}
 		if !w.Listed {
 			continue
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -103,7 +103,7 @@
 	silent := map[string]time.Duration{}
 	for id, w := range s.workers.All() {
 		if !w.Renewed && w.Reachability != Reachable && w.Placements.Len() > 0 {
-			silent[id] = max(0, w.leaseExpiry(s).Sub(now))
+			silent[id] = max(0, w.leaseBound(s).until.Sub(now))
 		}
 	}
 	return silent
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -63,15 +64,31 @@
 	if !ok || e.Incarnation != 0 && e.Incarnation < w.ReportedIncarnation {
 		return // a later incarnation has been heard since
 	}
-	if w.Reachability == Reachable {
-		t.emit(Decision{What: "silent", Worker: w.ID, Why: "no report"})
-	}
+	before := w.Reachability
 	w = w.WithReachability(Unreachable)
 	w.LeaseDeadline, w.Renewed = max(w.LeaseDeadline, e.Deadline), false
 	t.setWorker(w)
+	t.logSilence(w, before)
 	t.expireLeases(w)
 }
 
+// logSilence logs that a worker doesn't answer, and for how long its leases may be in
+// force, unless it did not answer before.
+func (t *transition) logSilence(w Worker, before Reachability) {
+	why := "no report"
+	switch {
+	case before == Unreachable:
+		return
+	case before == Unpolled:
+		why = "not heard by this leader"
+	}
+	if n := w.Placements.Len(); n > 0 {
+		b := w.leaseBound(t.State)
+		why += fmt.Sprintf("; leases of %d runs may last %v more, bounded by %s", n, b.until.Sub(t.now).Round(time.Millisecond), b.by)
+	}
+	t.emit(Decision{What: "silent", Worker: w.ID, Why: why})
+}
+
 func (e PollerLost) apply(t *transition) {
 	w, ok := t.fleet.get(e.Worker)
 	if !ok {
@@ -83,14 +100,15 @@
 // expireLeases gives up the runs at an unreachable worker once its leases have
 // expired.
 func (t *transition) expireLeases(w Worker) {
-	if w.Reachability == Reachable || t.now.Before(w.leaseExpiry(t.State)) {
+	bound := w.leaseBound(t.State)
+	if w.Reachability == Reachable || t.now.Before(bound.until) {
 		return
 	}
 	for _, p := range w.Placements.All() {
 		if p.Stage == Recording || p.Stage == Withdrawn {
 			continue
 		}
-		w = t.loseRun(w, p, "leases of an unreachable worker have expired")
+		w = t.loseRun(w, p, "leases of an unreachable worker have expired, bounded by "+bound.by)
 	}
 	t.removeIfUnused(w)
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -195,21 +195,27 @@
 	return w
 }
 
-// leaseExpiry returns the time by which all runs at an unreachable worker have ended
+// leaseBound is the time by which all leases at a worker have expired, and what bounds it.
+type leaseBound struct {
+	until time.Time
+	by    string
+}
+
+// leaseBound returns the time by which all runs at an unreachable worker have ended
 // because its leases have expired, allowing for clock drift.
-func (w Worker) leaseExpiry(s State) time.Time {
-	expiry := s.leadingSince.Add(s.unknownLease())
-	if until, known := s.inheritedLeases[w.ID]; known && until.Before(expiry) {
-		expiry = until
+func (w Worker) leaseBound(s State) leaseBound {
+	bound := leaseBound{s.leadingSince.Add(s.unknownLease()), "the takeover"}
+	if until, known := s.inheritedLeases[w.ID]; known && until.Before(bound.until) {
+		bound = leaseBound{until, "an earlier leader"}
 	}
 	if !w.ReportedAt.IsZero() {
 		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
-		expiry = w.ReportedAt.Add(onSlowestClock(max(left, 0)))
+		bound = leaseBound{w.ReportedAt.Add(onSlowestClock(max(left, 0))), "its last report"}
 	}
-	if w.LeasesUntil.After(expiry) {
-		return w.LeasesUntil
+	if w.LeasesUntil.After(bound.until) {
+		return leaseBound{w.LeasesUntil, "the loss of its caller"}
 	}
-	return expiry
+	return bound
 }
 
 // unknownLease returns how long a lease may be in force that another entry has sent
