Queue the records of one batch together

Cause: a leader's records were queued one at a time, each waking the writer. It could take the first record of a batch without the others and, once that was in the log, report the whole batch as written. The starts of the batch were then ordered with their records not in the log: a leader that ended there left runs that no later one knew of. Found on reading; no caller has reported it.

Change: the control thread queues all records of the effects of an event in one call.

--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -73,20 +73,23 @@
 	firstBatch int64
 }
 
-// Put queues a record. It replaces an unwritten record of the same job.
-func (r *Recorder) Put(record leader.Record) {
+// Put queues records. Each replaces an unwritten record of the same job. Records of one batch
+// are put together, since a batch counts as written once none of its records is queued.
+func (r *Recorder) Put(records ...leader.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pending == nil {
 		r.pending = map[ledger.ID]pendingRecord{}
 	}
-	p := pendingRecord{record, record.Batch}
-	if old, ok := r.pending[record.Job]; ok {
-		p.firstBatch = old.firstBatch
-	} else {
-		r.order = append(r.order, record.Job)
+	for _, record := range records {
+		p := pendingRecord{record, record.Batch}
+		if old, ok := r.pending[record.Job]; ok {
+			p.firstBatch = old.firstBatch
+		} else {
+			r.order = append(r.order, record.Job)
+		}
+		r.pending[record.Job] = p
 	}
-	r.pending[record.Job] = p
 	r.signal()
 }
 
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -102,6 +103,35 @@
 	return r, s
 }
 
+// Guards against a start whose record is not in the log: a batch counted as written when
+// only the records of it were written that the recorder had been given so far.
+func TestABatchCountsAsWrittenWithAllItsRecords(t *testing.T) {
+	const batches = 2000
+	l := &log{}
+	r, s := serve(t, l)
+	written := func() int {
+		names := map[string]bool{}
+		for _, a := range l.all() {
+			for _, v := range a.Values {
+				names[v.Name] = true
+			}
+		}
+		n := 0
+		for names[fmt.Sprint("a", n+1)] && names[fmt.Sprint("b", n+1)] {
+			n++
+		}
+		return n
+	}
+	for n := int64(1); n <= batches; n++ {
+		r.Put(record(n, ledger.ID(fmt.Sprint("a", n))), record(n, ledger.ID(fmt.Sprint("b", n))))
+		if n%50 == 0 {
+			told := int(s.batches())
+			assert.Assert(t, told <= written(), "batch %d counts as written", told)
+		}
+	}
+	wait(t, "all batches", func() bool { return s.batches() == batches })
+}
+
 func wait(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -14,12 +14,23 @@
 // adviceTimeout bounds a call for advice that is relayed by another entry.
 const adviceTimeout = 5 * time.Second
 
-// Perform performs effects in order. Effects that have to wait, such as calls, are
-// only started and run in goroutines of their own.
+// Perform performs effects in order, the records of a leader last and together. Effects that
+// have to wait, such as calls, are only started and run in goroutines of their own.
 func (e *Entry) Perform(effects []keeper.Effect) {
+	var records []leader.Record
+	var epoch int64
 	for _, effect := range effects {
+		if f, ok := effect.(keeper.LeaderEffect); ok {
+			if record, ok := f.Effect.(leader.Record); ok {
+				records, epoch = append(records, record), f.Epoch
+				continue
+			}
+		}
 		e.perform(effect)
 	}
+	if c := e.activeAt(epoch); c != nil && len(records) > 0 {
+		c.recorder.Put(records...)
+	}
 }
 
 func (e *Entry) perform(effect keeper.Effect) {
@@ -57,8 +68,6 @@
 // performForLeader performs an effect of package leader.
 func (e *Entry) performForLeader(c *leaderServices, effect leader.Effect) {
 	switch f := effect.(type) {
-	case leader.Record:
-		c.recorder.Put(f)
 	case leader.Order:
 		c.delegator.Order(f)
 	case leader.StartPolling:
