--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -53,12 +53,16 @@
 	Logger  logrus.FieldLogger
 	Lead    keeper.LeaderRecord
 	End     int64 // end of the stream of runs when the leader had read all that earlier ones wrote
+	Clock   keeper.Clock
+	Leases  leader.Leases // written with the first append
 	Appends metrics.Timer
 
 	mu       sync.Mutex
 	pending  map[ledger.ID]pendingRecord
 	order    []ledger.ID
 	expired  []ledger.ID
+	leases   *leader.Leases // not written yet
+	leadAt   time.Time      // when the leader's own record was last part of a batch
 	wake     chan struct{}
 	sequence int64
 	latency  time.Duration             // moving average of successful appends
@@ -93,6 +97,14 @@
 	r.signal()
 }
 
+// PutLeases queues a record of leases in place of one that is not written yet. The batch that
+// it is part of is complete only with a record that is put after it.
+func (r *Recorder) PutLeases(record leader.RecordLeases) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leases = &record.Leases
+}
+
 // Expire queues the deletion of a job's state.
 func (r *Recorder) Expire(id ledger.ID) {
 	r.mu.Lock()
@@ -142,6 +154,9 @@
 func (r *Recorder) Serve(ctx context.Context) error {
 	r.mu.Lock()
 	wake := r.wakeChannel()
+	if r.leases == nil {
+		r.leases = &r.Leases
+	}
 	r.mu.Unlock()
 	started := time.Now()
 	r.lastSent.Store(&started)
@@ -171,6 +186,12 @@
 	defer r.mu.Unlock()
 	var b batch
 	size, taken := 0, 0
+	if r.leases != nil {
+		v := r.leasesValue(*r.leases)
+		size += len(v.Data)
+		b.values = append(b.values, v)
+		r.leases = nil
+	}
 	for _, id := range r.order {
 		if size > maxBatchBytes {
 			break
@@ -199,18 +220,30 @@
 	return b
 }
 
-// addExpired adds the deletions of expired jobs, and a heartbeat if the batch is
-// empty or the first of this leader.
+// leasesValue returns the value of the stream of runs for leases.
+func (r *Recorder) leasesValue(l leader.Leases) replicator.Value {
+	v, err := encoder.Leases(keeper.NewLeaseRecord(r.Lead.Epoch, r.Clock, l))
+	if err != nil {
+		panic("recorder: leases can't be encoded: " + err.Error())
+	}
+	return v
+}
+
+// addExpired adds the deletions of expired jobs, and a heartbeat if the last one is long
+// ago: other records don't show the clock of leases.
 func (r *Recorder) addExpired(b *batch) {
 	for _, id := range r.expired {
 		b.values = append(b.values, replicator.Value{Name: string(id)})
 		b.changes = append(b.changes, keeper.RunChange{ID: id})
 	}
 	r.expired = nil
-	if len(b.values) > 0 && r.Lead.Heartbeats > 0 {
+	now := time.Now()
+	if len(b.values) > 0 && now.Sub(r.leadAt) < heartbeatPeriod {
 		return
 	}
+	r.leadAt = now
 	r.Lead.Heartbeats++
+	r.Lead.Clock = r.Clock.Reading(now)
 	v, err := encoder.Leader(r.Lead)
 	if err != nil {
 		panic("recorder: leader can't be encoded: " + err.Error())
@@ -275,22 +308,19 @@
 	return true
 }
 
-// Resign records that this leader has stopped, and how long leases may be in force at
-// workers that it could not reach. Call it after Serve has returned.
-func (r *Recorder) Resign(ctx context.Context, leases map[string]time.Duration) {
+// Resign records that this leader has stopped, and the leases that it did not renew. Call it
+// after Serve has returned.
+func (r *Recorder) Resign(ctx context.Context, leases leader.Leases) {
 	lead := r.Lead
-	lead.Leases = make(map[string]int64, len(leases))
-	for id, left := range leases {
-		lead.Leases[id] = (left + time.Millisecond - 1).Milliseconds()
-	}
 	lead.Name, lead.Address = "", ""
 	lead.Heartbeats++
+	lead.Clock = r.Clock.Reading(time.Now())
 	v, err := encoder.Leader(lead)
 	if err != nil {
 		panic("recorder: leader can't be encoded: " + err.Error())
 	}
 	_, err = r.Log.Append(ctx, replicator.Append{
-		Stream: keeper.Runs, Values: []replicator.Value{v}, Writer: Writer, Epoch: lead.Epoch, Sequence: r.sequence + 1, Timeout: firstTimeout,
+		Stream: keeper.Runs, Values: []replicator.Value{r.leasesValue(leases), v}, Writer: Writer, Epoch: lead.Epoch, Sequence: r.sequence + 1, Timeout: firstTimeout,
 	})
 	if err != nil {
 		r.Logger.WithError(err).Warn("resignation not written; other entries will detect the missing heartbeats")
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/endivelock/endivelock/internal/classifier"
+	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/conductor"
 	"github.com/endivelock/endivelock/internal/emulator"
 	"github.com/endivelock/endivelock/internal/leader"
@@ -38,7 +39,7 @@
 }
 
 // start runs an entry on the loopback interface.
-func start(t *testing.T, name string, l *emulator.Log, c *emulator.Cell) *member {
+func start(t *testing.T, name string, l *emulator.Log, w commander.Workers) *member {
 	t.Helper()
 	ports := &emulator.Ports{}
 	s := loader.Cell{Name: name, Zone: "z", Lease: 6 * time.Second, Grace: 2 * time.Second, Keep: time.Minute, Share: 1, Memory: 100}
@@ -49,7 +50,7 @@
 	}
 	logger, _ := test.NewNullLogger()
 	p := &emulator.LogClient{Log: l}
-	e := conductor.New(s, conductor.Ports{Platform: p, Workers: c}, logger)
+	e := conductor.New(s, conductor.Ports{Platform: p, Workers: w}, logger)
 	e.Callers, e.Ready = http.NotFoundHandler(), http.NotFoundHandler()
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{Entry: e, port: p, stop: cancel, done: make(chan error, 1)}
@@ -67,13 +68,9 @@
 }
 
 func newCell(t *testing.T, entries int) (*emulator.Log, *emulator.Cell, []*member) {
+	t.Helper()
 	l, c := &emulator.Log{}, &emulator.Cell{RunTime: 200 * time.Millisecond}
-	for i := range 4 {
-		data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Capacity: ledger.Resources{CPU: 8000, Memory: 8000}, Incarnation: 1})
-		assert.NilError(t, err)
-		_, err = l.Append(context.Background(), replicator.Append{Stream: emulator.WorkersStream, Values: []replicator.Value{{Name: fmt.Sprintf("w%d", i), Data: data}}})
-		assert.NilError(t, err)
-	}
+	listWorkers(t, l)
 	var members []*member
 	for i := range entries {
 		members = append(members, start(t, fmt.Sprintf("e%d", i), l, c))
@@ -81,6 +78,19 @@
 	return l, c, members
 }
 
+// workerNames are the workers of a cell under test.
+var workerNames = []string{"w0", "w1", "w2", "w3"}
+
+func listWorkers(t *testing.T, l *emulator.Log) {
+	t.Helper()
+	for _, name := range workerNames {
+		data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Capacity: ledger.Resources{CPU: 8000, Memory: 8000}, Incarnation: 1})
+		assert.NilError(t, err)
+		_, err = l.Append(context.Background(), replicator.Append{Stream: emulator.WorkersStream, Values: []replicator.Value{{Name: name, Data: data}}})
+		assert.NilError(t, err)
+	}
+}
+
 func job(id ledger.ID) ledger.Job {
 	return ledger.Job{ID: id, Accepted: time.Now(), Queue: ledger.Queue{Service: "s", Attempts: 2}, Steps: []ledger.Step{
 		{Count: 6, Request: ledger.Resources{CPU: 1000}, Estimate: 200 * time.Millisecond},
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -130,13 +130,14 @@
 }
 
 // startLeading starts the services of a leader.
-func (e *Entry) startLeading(epoch int64) {
+func (e *Entry) startLeading(f keeper.StartLeading) {
+	epoch := f.Epoch
 	e.unfollow(keeper.Runs)
 	ctx, cancel := context.WithCancel(e.ctx)
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
 	c := &leaderServices{epoch: epoch, cancel: cancel, workers: map[string]leader.Listing{}}
-	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, End: e.controller.Snapshot().Offset(keeper.Runs), Appends: e.metricTimer("append.runs")}
+	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, End: e.controller.Snapshot().Offset(keeper.Runs), Clock: f.Clock, Leases: f.Leases, Appends: e.metricTimer("append.runs")}
 	c.announcer = &announcer.Announcer{Log: e.relayer, Logger: logger, Lead: lead, Standbys: e.linker.Standbys}
 	c.commander = &commander.Commander{
 		Workers: e.ports.Workers, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: min(e.settings.Lease, maxLease), Renewal: renewalWindow,
@@ -150,6 +151,7 @@
 		},
 	}
 	c.delegator.Start(ctx)
+	logger.WithFields(logrus.Fields{"clock": f.Clock.Reading(time.Now()), "othersms": time.Until(f.Leases.Others).Milliseconds(), "named": len(f.Leases.Until)}).Info("leases of earlier leaders")
 	workers := &replicator.Follower{
 		Stream: e.ports.Platform.WorkerStream(), Reader: e.ports.Platform, Logger: logger, PollTimeout: readWait, From: -1,
 		Pause:  func() time.Duration { return workersPause },
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -47,7 +47,7 @@
 		e.unfollow(keeper.Jobs)
 		e.unfollow(keeper.Runs)
 	case keeper.StartLeading:
-		e.startLeading(f.Epoch)
+		e.startLeading(f)
 	case keeper.Resign:
 		e.stopLeading(f)
 	case keeper.LeaderEffect:
@@ -68,6 +68,8 @@
 // performForLeader performs an effect of package leader.
 func (e *Entry) performForLeader(c *leaderServices, effect leader.Effect) {
 	switch f := effect.(type) {
+	case leader.RecordLeases:
+		c.recorder.PutLeases(f)
 	case leader.Order:
 		c.delegator.Order(f)
 	case leader.StartPolling:
--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -42,6 +42,8 @@
 	running map[string]time.Time    // start time by run
 	tasks   map[string]leader.Order // by run
 	ends    []leader.RunEnd         // not yet acknowledged
+	lease   int64                   // end of the leases on its clock, in milliseconds, 0 before the first
+	lost    bool                    // no call reaches it
 }
 
 // worker returns the state of a worker and creates it if needed. The caller
@@ -58,6 +60,27 @@
 	return w
 }
 
+// Lose cuts a worker off, so that no call reaches it any more. What runs there goes on
+// until its leases have expired.
+func (c *Cell) Lose(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.worker(worker).lost = true
+}
+
+// Running returns the tasks that run at a worker.
+func (c *Cell) Running(worker string) []ledger.TaskID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.worker(worker)
+	w.expire(time.Now())
+	var tasks []ledger.TaskID
+	for key := range w.running {
+		tasks = append(tasks, w.tasks[key].Task)
+	}
+	return tasks
+}
+
 // connection is a connection to one of the workers, which neither restart nor break
 // connections off.
 type connection struct{ *Cell }
@@ -73,11 +96,10 @@
 func (c connection) Order(_ context.Context, to commander.Target, o leader.Order) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.worker(to.Worker)
-	if to.Fence < w.fence {
-		return &classifier.Error{Kind: classifier.Fenced}
+	w, err := c.admit(to)
+	if err != nil {
+		return err
 	}
-	w.fence = to.Fence
 	key := fmt.Sprintf("%s#%d", o.Task, o.Run)
 	switch o.Kind {
 	case leader.OrderStart:
@@ -91,6 +113,31 @@
 	return nil
 }
 
+// admit returns the worker that a call is for, with the call's fence and its leases in
+// force there. The caller holds c.mu.
+func (c *Cell) admit(to commander.Target) (*workerState, error) {
+	w := c.worker(to.Worker)
+	if w.lost {
+		return nil, &classifier.Error{Kind: classifier.Unanswered}
+	}
+	if to.Fence < w.fence {
+		return nil, &classifier.Error{Kind: classifier.Fenced}
+	}
+	w.expire(time.Now())
+	w.fence, w.lease = to.Fence, max(w.lease, to.Values.Deadline())
+	return w, nil
+}
+
+// expire ends all runs if the leases have expired.
+func (w *workerState) expire(now time.Time) {
+	if w.lease == 0 || now.UnixMilli() < w.lease {
+		return
+	}
+	for key := range w.running {
+		w.end(key, leader.EndLeaseExpired)
+	}
+}
+
 // checkStart records the invariants that the start of a task on a worker
 // violates. The caller holds c.mu.
 func (c *Cell) checkStart(w *workerState, o leader.Order) {
@@ -107,6 +154,7 @@
 		c.violations = append(c.violations, "started after it was done: "+o.Task.String())
 	}
 	for name, other := range c.workers {
+		other.expire(time.Now())
 		for key := range other.running {
 			if other.tasks[key].Task == o.Task {
 				c.violations = append(c.violations, "started twice: "+key+" at "+name)
@@ -124,10 +172,15 @@
 }
 
 // Poll returns a worker's report as soon as it contains an ended run, or after
-// wait. Ends up to the number acked are dropped.
+// wait. Ends up to the number acked are dropped. At a lost worker, it fails
+// cutCallDelay after wait.
 func (c connection) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
 	for end := time.Now().Add(wait); ; timer.Sleep(ctx, pollPeriod) {
 		report, err := c.report(to, to.Values.Acked())
+		if classifier.Is(err, classifier.Unanswered) {
+			timer.Sleep(ctx, time.Until(end)+cutCallDelay) // the caller waits in vain
+			return report, err
+		}
 		if err != nil || len(report.Ended) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
 			return report, err
 		}
@@ -137,11 +190,10 @@
 func (c *Cell) report(to commander.Target, acked int64) (leader.Report, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.worker(to.Worker)
-	if to.Fence < w.fence {
-		return leader.Report{}, &classifier.Error{Kind: classifier.Fenced}
+	w, err := c.admit(to)
+	if err != nil {
+		return leader.Report{}, err
 	}
-	w.fence = to.Fence
 	for key, began := range w.running {
 		if time.Since(began) > c.RunTime {
 			c.done[w.tasks[key].Task] = true
--- a/internal/encoder/jobs.go
+++ b/internal/encoder/jobs.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
@@ -47,10 +48,20 @@
 	return replicator.Value{Name: keeper.LeadName, Data: data}, errors.Wrap(err, "encode leader")
 }
 
+// Leases encodes which leases the leader doesn't renew as a value of the stream of runs.
+func Leases(r keeper.LeaseRecord) (replicator.Value, error) {
+	data, err := json.Marshal(r)
+	return replicator.Value{Name: keeper.LeasesName, Data: data}, errors.Wrap(err, "encode leases")
+}
+
+// awaitsLeases begins the claims of entries that renew no leases before their own
+// keeper.LeaseRecord is in the log. The claims of earlier versions are the name alone.
+const awaitsLeases = "@"
+
 // LeaderClaim encodes the claim of an entry to become leader as a value of the
 // stream of runs.
 func LeaderClaim(name string) replicator.Value {
-	return replicator.Value{Name: keeper.ClaimName, Data: []byte(name)}
+	return replicator.Value{Name: keeper.ClaimName, Data: []byte(awaitsLeases + name)}
 }
 
 // RunChange decodes a value of the stream of runs. A value under a fallback name is
@@ -64,11 +75,24 @@
 		return c, err
 	}
 	switch {
-	case c.Claim || v.Data == nil:
+	case c.Claim:
+		c.Awaits = bytes.HasPrefix(v.Data, []byte(awaitsLeases))
+		return c, nil
+	case v.Data == nil:
 		return c, nil
+	case v.Name == keeper.LeasesName:
+		c.Leases = &keeper.LeaseRecord{}
+		err := json.Unmarshal(v.Data, c.Leases)
+		if err == nil {
+			err = c.Leases.Validate()
+		}
+		return c, errors.Wrapf(err, "decode leases at offset %d", v.Offset)
 	case v.Name == keeper.LeadName:
 		c.Lead = &keeper.LeaderRecord{}
 		err := json.Unmarshal(v.Data, c.Lead)
+		if err == nil {
+			err = c.Lead.Validate()
+		}
 		return c, errors.Wrapf(err, "decode leader at offset %d", v.Offset)
 	}
 	c.Progress = &ledger.Progress{}
--- a/internal/encoder/jobs_test.go
+++ b/internal/encoder/jobs_test.go
@@ -1,6 +1,7 @@
 package encoder_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,19 @@
 	}
 }
 
+// Guards against leases that are given up too early: a reading that can't be told as a time
+// would wrap around.
+func TestReadingsThatNoClockShowsAreErrors(t *testing.T) {
+	for name, data := range map[string]string{
+		keeper.LeadName + " late": `{"epoch":5,"name":"a","clock":9223372036854775}`, keeper.LeadName + " negative": `{"epoch":5,"clock":-1}`,
+		keeper.LeasesName + " late": `{"epoch":5,"others":9223372036854775}`, keeper.LeasesName + " negative": `{"epoch":5,"until":{"w":-1}}`,
+	} {
+		key, _, _ := strings.Cut(name, " ")
+		_, err := encoder.RunChange(replicator.Value{Offset: 9, Name: key, Data: []byte(data)})
+		assert.ErrorContains(t, err, "at offset 9", "%s", data)
+	}
+}
+
 // lead has an entry with a job and its progress take over, which must not panic.
 func lead(changes []keeper.JobChange, runs []keeper.RunChange) {
 	now := time.Unix(1_700_000_000, 0)
@@ -44,7 +58,7 @@
 		keeper.JobsRead{Snapshot: true, Changes: changes, Next: 1}, keeper.RunsRead{Snapshot: true, Changes: runs, Next: 1},
 		keeper.LeadsRead{}, keeper.Ticked{}, keeper.Ticked{}, keeper.Claimed{Epoch: 5}, keeper.Ticked{},
 		keeper.LeaderEvent{Epoch: 5, Event: leader.Listed{Listing: leader.Listing{ID: "w", Capacity: ledger.Resources{CPU: 64_000, Memory: 64_000}}}},
-		keeper.LeaderEvent{Epoch: 5, Event: leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now}},
+		keeper.LeaderEvent{Epoch: 5, Event: leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now, Silences: 1}},
 		keeper.Ticked{},
 	} {
 		now = now.Add(2 * time.Second)
@@ -72,15 +86,18 @@
 		`{"state":"running","rounds":[{"tasks":[[{"p":1,"r":1,"w":"w"}]]}]}`,
 		`{"state":"running","rounds":[{"tasks":[[{},{}],[{"p":1,"w":"w"}],[{}]]}]}`,
 		`{"state":"running","rounds":[{},{},{}]}`,
+		`{"epoch":1,"name":"a","clock":9}`, `{"epoch":1,"others":9,"until":{"w":99}}`,
 		`{"state":"complete"}`, `{"state":"odd","rounds":null}`, `{`,
 	} {
 		f.Add([]byte(data))
 	}
 	job := ledger.Job{ID: jobName, Steps: []ledger.Step{{Count: 2, Request: ledger.Resources{CPU: 100}}, {Count: 1, After: []int{0}}}}
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		c, err := encoder.RunChange(replicator.Value{Name: jobName, Data: data})
-		if err == nil {
-			lead([]keeper.JobChange{{ID: jobName, Job: &job}}, []keeper.RunChange{c})
+		for _, name := range []string{jobName, keeper.LeadName, keeper.LeasesName} {
+			c, err := encoder.RunChange(replicator.Value{Name: name, Data: data})
+			if err == nil {
+				lead([]keeper.JobChange{{ID: jobName, Job: &job}}, []keeper.RunChange{c})
+			}
 		}
 	})
 }
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -132,8 +132,11 @@
 // applyRunChange applies one change of the stream of runs. Records that are old,
 // which means written before this entry started, do not count as heartbeats.
 func (t *transition) applyRunChange(c RunChange, old bool) {
+	t.leases = t.leases.withChange(c, t.now)
+	if c.Leases != nil {
+		return
+	}
 	if c.Claim {
-		t.claims = t.claims.with(c.Offset)
 		if !old {
 			t.lastClaim, t.claimOffset = t.now, c.Offset
 		}
@@ -158,8 +161,6 @@
 		t.replica = t.replica.withoutLink(t.now)
 	}
 	t.State.lead = *c.Lead
-	t.State.lead.Leases = nil // of no use to those that are told who leads
-	t.handover = newHandover(*c.Lead, c.Offset, t.now)
 	if c.Lead.Epoch > t.claimOffset {
 		t.lastClaim = time.Time{} // the claim is decided: an epoch is the offset after its claim
 	}
@@ -325,16 +326,14 @@
 		t.emit(Resign{Epoch: e.Epoch, Graceful: true})
 		return
 	}
-	policy := t.policy.Leader
-	if t.leaderInactive() {
-		policy.MaxStaleRenewal = min(policy.MaxStaleRenewal, t.policy.MaxGrant) // it renews no leases itself
-	}
+	inherited := t.leases.inherited(t.policy, t.now, e.Epoch-1, t.leaderInactive() && t.State.lead.Epoch == t.leases.epoch)
+	clock := t.leases.clock.from(t.now)
 	t.role, t.leadingSince = Leading, t.now
 	t.maxPeerShare = t.Self.CPUShare // peers report theirs when they link
 	t.State.lead = LeaderRecord{Epoch: e.Epoch, Name: t.Self.Name, Address: t.Self.Address}
-	t.leader = leader.New(policy, t.now).WithInheritedLeases(t.handover.leasesFor(e.Epoch-1, t.claims))
+	t.leader = leader.New(t.policy.Leader, t.now).WithInheritedLeases(inherited)
 	t.emit(LogLeadership{What: "lead", Lead: t.State.lead, Why: "the claim succeeded"})
-	t.emit(StartLeading(e))
+	t.emit(StartLeading{Epoch: e.Epoch, Clock: clock, Leases: inherited})
 	for id, job := range t.jobs.All() {
 		accepted := leader.Accepted{Job: job}
 		if p, ok := t.progress.Get(id); ok {
@@ -364,11 +363,11 @@
 func (t *transition) resign(graceful bool) {
 	resigned := Resign{Epoch: t.State.lead.Epoch, Graceful: graceful}
 	if graceful {
-		resigned.Leases = t.leader.SilentLeases(t.now)
+		resigned.Leases = t.leader.Leases()
 	}
 	t.emit(resigned)
 	t.role, t.lastHeartbeat, t.leader = Following, t.now, leader.State{}
-	t.offsets = t.offsets.Without(Runs)
+	t.offsets, t.leases = t.offsets.Without(Runs), leases{}
 	t.lastRead = time.Time{}
 	t.State.lead.Name = unknownLeader
 	t.replica = t.replica.withoutLink(t.now)
--- a/internal/keeper/effects.go
+++ b/internal/keeper/effects.go
@@ -20,14 +20,19 @@
 // StopReplicating ends the following of both streams.
 type StopReplicating struct{}
 
-// StartLeading starts the services of a leader.
-type StartLeading struct{ Epoch int64 }
+// StartLeading starts the services of a leader, which goes on with the clock of leases. The
+// leases are those that it writes to the log with its first record.
+type StartLeading struct {
+	Epoch  int64
+	Clock  Clock
+	Leases leader.Leases
+}
 
 // Resign stops the services of a leader.
 type Resign struct {
 	Epoch    int64
-	Graceful bool                     // record the resignation in the log
-	Leases   map[string]time.Duration // as in leader.State.SilentLeases, if Graceful
+	Graceful bool          // record the resignation in the log
+	Leases   leader.Leases // to be written with it
 }
 
 // LeaderEffect wraps an effect of package leader.
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -34,6 +34,8 @@
 	Progress *ledger.Progress // nil when the name was dropped
 	Lead     *LeaderRecord    // set if the record names the leader, not a job
 	Claim    bool             // the record is an entry's claim of leadership
+	Awaits   bool             // with Claim: the entry renews no leases before its LeaseRecord is in the log
+	Leases   *LeaseRecord     // set if the record says which leases the leader doesn't renew
 	Job      *JobChange       // set if the record is a change that the stream of jobs refused
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,11 +34,13 @@
 	// Standbys names the entries that replicate the streams in order to take over. Only
 	// the stream of leaders has it.
 	Standbys []string `json:"standbys,omitempty"`
-	// Leases says, in the stream of runs, how long leases may be in force at the workers that
-	// a leader that has resigned could not reach, in milliseconds since it resigned.
-	Leases map[string]int64 `json:"leases,omitempty"`
+	// Clock is the reading of the clock of leases, only in the stream of runs.
+	Clock int64 `json:"clock,omitempty"`
 }
 
+// Validate returns an error unless the reading of the clock of leases can be told as a time.
+func (l LeaderRecord) Validate() error { return checkReading(l.Clock) }
+
 // Role is the role of an entry in leader election.
 type Role int
 
@@ -100,8 +102,7 @@
 	lastJobsRead  time.Time // last successful read of the jobs
 	lastClaim     time.Time // when another entry's claim was read, zero if it is decided
 	claimOffset   int64     // offset of that claim
-	handover      handover
-	claims        claims
+	leases        leases
 	linkLost      bool
 	// leaderUnreachable means that no process answers at the leader's address,
 	// leaderSteppedDown that it is known not to lead any more.
@@ -226,6 +227,7 @@
 
 // Names in the stream of runs that do not stand for a job.
 const (
-	LeadName  = "@lead"
-	ClaimName = "@claim"
+	LeadName   = "@lead"
+	ClaimName  = "@claim"
+	LeasesName = "@leases"
 )
--- /dev/null
+++ b/internal/keeper/leases_test.go
@@ -0,0 +1,87 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivelock/endivelock/internal/keeper"
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+// withRun returns an entry that has read a lasting run at worker w.
+func withRun(changes ...keeper.RunChange) *entry {
+	e := synced(changes...)
+	e.state = keeper.New(keeper.Identity{Name: "me", Address: "me:1"}, keeper.Policy{
+		LeaderTimeout: time.Second, Leader: leader.Policy{Lease: 6 * time.Second, MaxStaleRenewal: 5 * time.Second}, MaxGrant: 2 * time.Second,
+	})
+	e.apply(keeper.Ticked{})
+	j := ledger.Job{ID: "j", Steps: []ledger.Step{{Count: 1}}}
+	p := ledger.NewProgress(j).WithRoundBegun(j, 0).WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
+	e.apply(keeper.JobsRead{Changes: []keeper.JobChange{{ID: "j", Job: &j, Offset: 100}}, Next: 101, Snapshot: true})
+	e.runs(append(changes, keeper.RunChange{ID: "j", Progress: &p})...)
+	return e
+}
+
+// takeOver has the entry claim and lead, and returns the leases that it inherits.
+func (e *entry) takeOver(t *testing.T, claim keeper.RunChange) leader.Leases {
+	t.Helper()
+	assert.Assert(t, e.claims(5*time.Second) > 0)
+	e.runs(claim)
+	e.apply(keeper.Claimed{Epoch: e.next})
+	assert.Equal(t, e.state.Role(), keeper.Leading)
+	return e.state.Leader().Leases()
+}
+
+func record(epoch, clock int64, name string) keeper.RunChange {
+	return keeper.RunChange{Lead: &keeper.LeaderRecord{Epoch: epoch, Name: name, Clock: clock}}
+}
+
+// Guards against leases that are given up too early: what the log says of them doesn't hold
+// if an entry has claimed since that may have renewed leases before a record of it is in the log.
+func TestLeasesInTheLogHoldUnlessAnotherLeaderMayHaveRenewedThem(t *testing.T) {
+	named := keeper.RunChange{Leases: &keeper.LeaseRecord{Epoch: 5, Until: map[string]int64{"w": 1500}}}
+	claim, awaits := keeper.RunChange{Claim: true}, keeper.RunChange{Claim: true, Awaits: true}
+	for name, c := range map[string]struct {
+		before, between []keeper.RunChange
+		givenUp         bool
+	}{
+		"next leader":                   {nil, nil, true},
+		"an earlier claim":              {[]keeper.RunChange{claim, claim}, nil, true},
+		"a claim between":               {nil, []keeper.RunChange{claim}, false},
+		"claims around":                 {[]keeper.RunChange{claim}, []keeper.RunChange{claim}, false},
+		"a claim that awaits a record":  {nil, []keeper.RunChange{awaits}, true},
+		"a leader without a clock":      {nil, []keeper.RunChange{lead(5, "other")}, false},
+		"a leader without lease record": {nil, []keeper.RunChange{record(6, 1001, "")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := withRun(lead(5, "other"))
+			e.runs(c.before...)
+			e.runs(named, record(5, 1000, ""))
+			e.runs(c.between...)
+			e.takeOver(t, awaits)
+			lost := lostAt(e, time.Second)
+			assert.Equal(t, lost != 0, c.givenUp)
+			assert.Assert(t, !c.givenUp || lost > 300*time.Millisecond && lost < 600*time.Millisecond, "given up after %v", lost)
+		})
+	}
+}
+
+// lostAt advances time by steps and returns after how long the run at the silent worker is
+// given up, or 0.
+func lostAt(e *entry, limit time.Duration) time.Duration {
+	const step = 50 * time.Millisecond
+	for d := step; d <= limit; d += step {
+		e.now = e.now.Add(step)
+		for _, effect := range e.apply(keeper.Ticked{}) {
+			if f, ok := effect.(keeper.LeaderEffect); ok {
+				if n, ok := f.Effect.(leader.Decision); ok && n.What == "lost" {
+					return d
+				}
+			}
+		}
+	}
+	return 0
+}
--- a/internal/keeper/standby.go
+++ b/internal/keeper/standby.go
@@ -93,7 +93,7 @@
 func (t *transition) forgetReplica() {
 	empty := State{}
 	t.jobs, t.progress, t.cancels, t.inRuns, t.endedAt, t.offsets = empty.jobs, empty.progress, empty.cancels, empty.inRuns, empty.endedAt, empty.offsets
-	t.lastRead, t.lastJobsRead = time.Time{}, time.Time{}
+	t.lastRead, t.lastJobsRead, t.leases = time.Time{}, time.Time{}, leases{}
 }
 
 // Candidate is an entry that could be a standby.
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -22,6 +22,7 @@
 	permits        func(step, worker string) bool // replaces permitted if it is set
 	queried        [][]string                     // workers queried in each advice call
 	running        map[string]string              // worker by task
+	renewed        map[string]bool                // workers whose leases each poll renews
 	ended          map[string]int64               // number of ends by worker
 	orders         []leader.Order
 	records        map[ledger.ID]ledger.Progress
@@ -45,7 +46,7 @@
 
 // newPacedHarness returns a harness with a pause between placement passes.
 func newPacedHarness(t *testing.T, workers int, room ledger.Resources, pause time.Duration) *harness {
-	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
+	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, renewed: map[string]bool{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
 	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: pause}, h.now)
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
@@ -63,10 +64,22 @@
 			r.Running = append(r.Running, leader.RunStatus{Task: task, Number: 1, Percent: h.percent})
 		}
 	}
-	h.apply(leader.Reported{Worker: id, Report: r, Sent: h.now, Deadline: h.now.Add(testLease).UnixMilli()})
+	h.applyReport(id, r, h.now.Add(testLease).UnixMilli())
+}
+
+// applyReport applies a report. Whoever polls a worker renews leases only once it was told to.
+func (h *harness) applyReport(id string, r leader.Report, deadline int64) {
+	e := leader.Reported{Worker: id, Report: r, Sent: h.now, Deadline: deadline}
+	if !h.renewed[id] {
+		e.Silences = 1
+	}
+	h.apply(e)
 }
 
 func (h *harness) apply(e leader.Event) {
+	if failed, ok := e.(leader.PollFailed); ok {
+		delete(h.renewed, failed.Worker)
+	}
 	next, effects := h.state.Apply(e, h.now)
 	h.state = next
 	for _, effect := range effects {
@@ -78,6 +91,8 @@
 				continue
 			}
 			h.apply(leader.Committed{Batch: f.Batch})
+		case leader.Renew:
+			h.renewed[f.Worker] = true
 		case leader.Order:
 			h.orders = append(h.orders, f)
 			if f.Kind == leader.OrderStart && f.Worker == h.refusingWorker {
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -12,12 +12,13 @@
 // so far.
 type transition struct {
 	State
-	fleet       draft[Worker]    // the workers of the state
-	active      draft[ActiveJob] // the jobs of the state
-	now         time.Time
-	effects     []Effect
-	changed     container.Table[bool] // jobs whose progress must be recorded
-	changeOrder []ledger.ID           // the keys of changed, in order of change
+	fleet         draft[Worker]    // the workers of the state
+	active        draft[ActiveJob] // the jobs of the state
+	now           time.Time
+	effects       []Effect
+	changed       container.Table[bool] // jobs whose progress must be recorded
+	changeOrder   []ledger.ID           // the keys of changed, in order of change
+	leasesChanged bool                  // a record of leases is part of the current batch
 }
 
 // Apply returns the state after event e at time now and the effects to carry out.
@@ -25,6 +26,7 @@
 	t := &transition{State: s, now: now}
 	t.fleet.table, t.active.table = &t.workers, &t.jobs
 	e.apply(t)
+	t.recordLeases()
 	t.placeWhenDue()
 	t.recordChanges()
 	t.fleet.save()
@@ -130,7 +132,7 @@
 func (t *transition) recordChanges() {
 	last, waits := t.commitWaiters.Last()
 	awaited := waits && last.batch == t.nextBatch()
-	if len(t.changeOrder) == 0 && !awaited {
+	if len(t.changeOrder) == 0 && !awaited && !t.leasesChanged {
 		return
 	}
 	t.batch++
@@ -229,10 +231,11 @@
 // awaitCommit defers an action until a batch is in the log: the start of the
 // placement with the given key or, if key is empty, the acknowledgement of ends.
 func (t *transition) awaitCommit(batch int64, worker, key string) {
-	t.commitWaiters = t.commitWaiters.With(commitWaiter{batch, worker, key})
+	t.commitWaiters = t.commitWaiters.With(commitWaiter{batch: batch, worker: worker, key: key})
 }
 
 func (e Committed) apply(t *transition) {
+	t.committed = max(t.committed, e.Batch)
 	for {
 		d, waits := t.commitWaiters.First()
 		if !waits || d.batch > e.Batch {
@@ -243,6 +246,12 @@
 		if !ok {
 			continue
 		}
+		if d.renew {
+			if w.Renewed && w.RenewedIn <= t.committed && w.Reachability == Reachable {
+				t.renew(w)
+			}
+			continue
+		}
 		if d.key == "" {
 			t.acknowledge(w, e.Batch)
 			t.removeIfUnused(w)
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -18,6 +18,13 @@
 	Progress ledger.Progress
 }
 
+// RecordLeases writes to the log until when leases may be in force that this leader doesn't
+// renew. It is part of a batch, and replaces the last one.
+type RecordLeases struct {
+	Batch  int64
+	Leases Leases
+}
+
 // OrderKind is what an order tells a worker to do.
 type OrderKind string
 
@@ -96,6 +103,7 @@
 }
 
 func (Record) effect()        {}
+func (RecordLeases) effect()  {}
 func (Order) effect()         {}
 func (StartPolling) effect()  {}
 func (StopPolling) effect()   {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -34,19 +34,16 @@
 	MinPassInterval time.Duration // least time between two placement passes; 0 runs one after each event
 }
 
-// maxClockDrift is the fraction by which a worker's monotonic clock may run
-// slower than ours, a bound that the platform guarantees.
-const maxClockDrift = 0.02
-
 // State is the immutable control state of a leader. New returns the initial one.
 type State struct {
-	policy       Policy
-	leadingSince time.Time // time of this leader's takeover
-
-	// inheritedLeases bounds the leases at workers that the leader before did not renew.
-	inheritedLeases map[string]time.Time
+	policy     Policy
+	inherited  Leases    // of earlier leaders
+	renews     bool      // a record of leases has been written, so that leases may be renewed
+	leasesDue  bool      // workers have fallen silent or been heard since the last one
+	nextLeases time.Time // earliest time of the next one
 
 	batch          int64 // number of the last batch of log records
+	committed      int64 // number of the last one in the log
 	jobs           container.Table[ActiveJob]
 	waiting        container.Ranking          // steps with idle tasks that may start, by urgency
 	readySince     container.Table[time.Time] // when each waiting step became startable
@@ -78,6 +75,7 @@
 	batch  int64
 	worker string
 	key    string // of the placement to start; empty to acknowledge ends
+	renew  bool   // renew the leases of the worker instead
 }
 
 // New returns the state of a leader that takes over at time now.
@@ -85,28 +83,7 @@
 	if p.Placer == nil {
 		p.Placer = placer.BestFit{}
 	}
-	return State{policy: p, leadingSince: now}
-}
-
-// WithInheritedLeases returns the state of a leader that takes over from one that has
-// resigned, with the times until which leases may be in force at the workers that the
-// earlier one named in SilentLeases. The map must not be changed any more.
-func (s State) WithInheritedLeases(until map[string]time.Time) State {
-	s.inheritedLeases = until
-	return s
-}
-
-// SilentLeases returns, for each worker with runs whose leases this leader doesn't renew,
-// how long leases may still be in force there. It holds for whoever leads next, unless
-// this leader goes on.
-func (s State) SilentLeases(now time.Time) map[string]time.Duration {
-	silent := map[string]time.Duration{}
-	for id, w := range s.workers.All() {
-		if !w.Renewed && w.Reachability != Reachable && w.Placements.Len() > 0 {
-			silent[id] = max(0, w.leaseBound(s).until.Sub(now))
-		}
-	}
-	return silent
+	return State{policy: p, inherited: Leases{Others: p.LeaseEnd(now.Add(p.MaxStaleRenewal))}}
 }
 
 // ActiveJob is a job that has not ended, or that has ended while some of its runs
--- /dev/null
+++ b/internal/leader/leases.go
@@ -0,0 +1,184 @@
+package leader
+
+import (
+	"fmt"
+	"time"
+)
+
+// maxClockDrift is the fraction by which a worker's monotonic clock may run
+// slower than ours, a bound that the platform guarantees.
+const maxClockDrift = 0.02
+
+// pausePerName is multiplied by the number of workers that a record of leases names for the
+// time until the next one. Each record names them all; the pause bounds what is written
+// while many workers fall silent or are heard one after the other.
+const pausePerName = 100 * time.Microsecond
+
+// A record of leases names workers up to maxNamedBytes, with nameBytes for each beside its
+// name: the platform's limit on a record is twice that.
+const (
+	maxNamedBytes = 128 << 10
+	nameBytes     = 24
+)
+
+// Leases says until when leases may be in force that no leader renews any more. A leader
+// has its own written to the log before it renews any lease, and again before it renews
+// those of a worker that they name, so that whoever leads next knows which leases were not
+// renewed since, in whatever way this leader ends.
+type Leases struct {
+	Others time.Time            // at workers that Until does not name; zero if the leader renews these
+	Until  map[string]time.Time // at the workers that it names; must not be changed
+}
+
+// LeaseEnd returns the time by which a lease has expired that was renewed at a time,
+// allowing for clock drift.
+func (p Policy) LeaseEnd(renewed time.Time) time.Time { return renewed.Add(onSlowestClock(p.Lease)) }
+
+// onSlowestClock returns the longest real time in which d passes on a worker's
+// monotonic clock.
+func onSlowestClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockDrift))
+}
+
+// WithInheritedLeases returns the state of a leader that takes over with what earlier ones
+// have recorded. Nothing is known of them without it.
+func (s State) WithInheritedLeases(l Leases) State {
+	s.inherited = l
+	return s
+}
+
+// Leases returns what holds for whoever leads next, unless this leader goes on: the leases
+// at workers with runs that it doesn't renew, and those that it has inherited until it
+// renews any. If there are too many workers to name, the next leader takes the leases at the
+// others for renewed and waits longer.
+func (s State) Leases() Leases {
+	if !s.renews {
+		return s.inherited
+	}
+	l, size := Leases{Until: map[string]time.Time{}}, 0
+	for id, w := range s.workers.All() {
+		if w.Renewed || w.Placements.Len() == 0 {
+			continue
+		}
+		if size += len(id) + nameBytes; size > maxNamedBytes {
+			break
+		}
+		l.Until[id] = w.leaseBound(s).until
+	}
+	return l
+}
+
+// leaseBound is the time by which all leases at a worker have expired, and what bounds it.
+type leaseBound struct {
+	until time.Time
+	by    string
+}
+
+// leaseBound returns the time by which all runs at an unreachable worker have ended
+// because its leases have expired, allowing for clock drift.
+func (w Worker) leaseBound(s State) leaseBound {
+	bound := leaseBound{s.inherited.Others, "the last record of an earlier leader"}
+	if until, named := s.inherited.Until[w.ID]; named && until.Before(bound.until) {
+		bound = leaseBound{until, "what an earlier leader recorded"}
+	}
+	if !w.ReportedAt.IsZero() {
+		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
+		bound = leaseBound{w.ReportedAt.Add(onSlowestClock(max(left, 0))), "its last report"}
+	}
+	if w.LeasesUntil.After(bound.until) {
+		return leaseBound{w.LeasesUntil, "the loss of its caller"}
+	}
+	return bound
+}
+
+// WithUnknownLeases returns the worker with leases in force up to a time.
+func (w Worker) WithUnknownLeases(until time.Time) Worker {
+	w.LeasesUntil = until
+	return w
+}
+
+// WithRenewal returns the worker with its leases renewed according to the record of leases
+// in a batch.
+func (w Worker) WithRenewal(batch int64) Worker {
+	w.Renewed, w.RenewedIn = true, batch
+	return w
+}
+
+// awaitsRenewal reports whether the worker answers and its leases are not renewed.
+func (w Worker) awaitsRenewal() bool {
+	return !w.Renewed && w.Reachability == Reachable && w.Silences != 0
+}
+
+// hear has the leases of a worker renewed whose caller renews none before a Renew.
+func (t *transition) hear(w Worker, silences int64) {
+	w.Silences, w.Granted = silences, false
+	t.setWorker(w)
+	switch {
+	case !w.Renewed:
+		t.leasesDue = true
+	case w.RenewedIn <= t.committed:
+		t.renew(w)
+	default:
+		t.awaitRenewal(w)
+	}
+}
+
+// renew has whoever polls a worker renew its leases.
+func (t *transition) renew(w Worker) {
+	w.Granted = true
+	t.setWorker(w)
+	t.emit(Renew{Worker: w.ID, Silences: w.Silences})
+}
+
+// withhold records that the leases of a silent worker with runs are no longer renewed.
+func (t *transition) withhold(w Worker) Worker {
+	w.Granted = false
+	if w.Placements.Len() > 0 {
+		t.leasesDue = t.leasesDue || w.Renewed
+		w.Renewed = false
+	}
+	t.setWorker(w)
+	return w
+}
+
+// recordLeases writes a record of leases if it is due. Those of workers that answer are
+// renewed once it is in the log.
+func (t *transition) recordLeases() {
+	if !t.leasesDue || t.now.Before(t.nextLeases) {
+		return
+	}
+	for _, w := range t.fleet.all() {
+		if w.awaitsRenewal() {
+			t.setWorker(w.WithRenewal(t.nextBatch()))
+			t.awaitRenewal(w)
+			t.placementDue = true
+		}
+	}
+	t.fleet.save()
+	t.leasesDue, t.leasesChanged, t.renews = false, true, true
+	l := t.Leases()
+	t.nextLeases = t.now.Add(time.Duration(len(l.Until)) * pausePerName)
+	t.emit(RecordLeases{Batch: t.nextBatch(), Leases: l})
+}
+
+// awaitRenewal has the leases of a worker renewed once the current batch is in the log.
+func (t *transition) awaitRenewal(w Worker) {
+	t.commitWaiters = t.commitWaiters.With(commitWaiter{batch: t.nextBatch(), worker: w.ID, renew: true})
+}
+
+// logSilence logs that a worker doesn't answer, and for how long its leases may be in
+// force, unless it did not answer before.
+func (t *transition) logSilence(w Worker, before Reachability) {
+	why := "no report"
+	switch {
+	case before == Unreachable:
+		return
+	case before == Unpolled:
+		why = "not heard by this leader"
+	}
+	if n := w.Placements.Len(); n > 0 {
+		b := w.leaseBound(t.State)
+		why += fmt.Sprintf("; leases of %d runs may last %v more, bounded by %s", n, b.until.Sub(t.now).Round(time.Millisecond), b.by)
+	}
+	t.emit(Decision{What: "silent", Worker: w.ID, Why: why})
+}
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -13,7 +13,7 @@
 // reportEnds applies a partial report, which leaves out the executing runs.
 func (h *harness) reportEnds(id string, ended ...leader.RunEnd) {
 	r := leader.Report{Partial: true, Incarnation: 1, Clock: h.now.UnixMilli(), Ended: ended}
-	h.apply(leader.Reported{Worker: id, Report: r, Sent: h.now, Deadline: h.now.Add(testLease).UnixMilli()})
+	h.applyReport(id, r, h.now.Add(testLease).UnixMilli())
 }
 
 // startedRun returns a harness whose single worker executes one task.
@@ -73,7 +73,7 @@
 func TestAFailedPollOfAnEarlierIncarnationSaysNothing(t *testing.T) {
 	h := startedRun(t)
 	r := leader.Report{Incarnation: 2, Clock: 100, Running: []leader.RunStatus{{Task: "j.0.0.0", Number: 1, Percent: 10}}}
-	h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.applyReport("w00", r, 100+testLease.Milliseconds())
 	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 1, Deadline: time.Hour.Milliseconds()})
 	assert.Equal(t, h.state.Counts(h.now).Reachable, 1)
 	h.submit("other", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 2000}})
@@ -96,7 +96,7 @@
 	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, Estimate: time.Minute})
 	assert.Equal(t, len(h.running), 1)
 	r := leader.Report{Incarnation: 2, Clock: 100, Running: []leader.RunStatus{{Task: "j.0.0.0", Number: 1, Percent: 10}}}
-	h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now})
+	h.applyReport("w00", r, 0)
 	silent := h.now
 	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 2})
 	for h.lostRuns() == 0 && h.now.Sub(silent) < time.Minute {
@@ -112,7 +112,7 @@
 	listing := leader.Listing{ID: "w", Address: "w", Service: "s", Incarnation: 1, Capacity: ledger.Resources{CPU: 8000}, Labels: []string{"b"}}
 	h.apply(leader.Listed{Listing: listing})
 	h.report("w")
-	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.applyReport("w", leader.Report{Incarnation: 2, Clock: 100}, 100+testLease.Milliseconds())
 	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
 	h.advance(time.Second)
 	assert.Equal(t, h.countOrders(leader.OrderStart), 0)
@@ -130,7 +130,7 @@
 	h.report("w")
 	h.commitsDelayed = true
 	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
-	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.applyReport("w", leader.Report{Incarnation: 2, Clock: 100}, 100+testLease.Milliseconds())
 	h.commitsDelayed = false
 	for _, batch := range h.delayedBatches {
 		h.apply(leader.Committed{Batch: batch})
@@ -150,7 +150,7 @@
 	h.submit("j", ledger.Queue{}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}, RequiredLabel: "b"})
 	listing.Incarnation, listing.Labels = 2, []string{"a"}
 	h.apply(leader.Listed{Listing: listing})
-	h.apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 2, Clock: 100}, Sent: h.now, Deadline: 100 + testLease.Milliseconds()})
+	h.applyReport("w", leader.Report{Incarnation: 2, Clock: 100}, 100+testLease.Milliseconds())
 	h.commitsDelayed = false
 	for _, batch := range h.delayedBatches {
 		h.apply(leader.Committed{Batch: batch})
@@ -184,13 +184,14 @@
 	first.apply(leader.PollFailed{Worker: "w00"})
 	silent := first.now
 	first.advance(2 * time.Second)
-	left := first.state.SilentLeases(first.now)
-	assert.Assert(t, left["w00"] > 4*time.Second && left["w00"] < 4500*time.Millisecond, "%v", left)
+	leases := first.state.Leases()
+	left := leases.Until["w00"].Sub(first.now)
+	assert.Assert(t, left > 4*time.Second && left < 4500*time.Millisecond, "%v", left)
 
 	next := newHarness(t, 0, ledger.Resources{})
 	next.now = first.now
 	next.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}, next.now).
-		WithInheritedLeases(map[string]time.Time{"w00": next.now.Add(left["w00"])})
+		WithInheritedLeases(leader.Leases{Others: next.now.Add(time.Minute), Until: leases.Until})
 	progress := first.records["j"]
 	job := ledger.Job{ID: "j", Queue: ledger.Queue{Service: "s", Priority: 1}, Steps: []ledger.Step{{Count: 1, Request: ledger.Resources{CPU: 1000}}}}
 	next.apply(leader.Accepted{Job: job, Progress: &progress})
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -66,35 +65,18 @@
 	}
 	before := w.Reachability
 	w = w.WithReachability(Unreachable)
-	w.LeaseDeadline, w.Renewed = max(w.LeaseDeadline, e.Deadline), false
-	t.setWorker(w)
+	w.LeaseDeadline = max(w.LeaseDeadline, e.Deadline)
+	w = t.withhold(w)
 	t.logSilence(w, before)
 	t.expireLeases(w)
 }
 
-// logSilence logs that a worker doesn't answer, and for how long its leases may be in
-// force, unless it did not answer before.
-func (t *transition) logSilence(w Worker, before Reachability) {
-	why := "no report"
-	switch {
-	case before == Unreachable:
-		return
-	case before == Unpolled:
-		why = "not heard by this leader"
-	}
-	if n := w.Placements.Len(); n > 0 {
-		b := w.leaseBound(t.State)
-		why += fmt.Sprintf("; leases of %d runs may last %v more, bounded by %s", n, b.until.Sub(t.now).Round(time.Millisecond), b.by)
-	}
-	t.emit(Decision{What: "silent", Worker: w.ID, Why: why})
-}
-
 func (e PollerLost) apply(t *transition) {
 	w, ok := t.fleet.get(e.Worker)
-	if !ok {
-		return
+	if !ok || !w.Granted {
+		return // whoever is lost has renewed no leases
 	}
-	t.setWorker(w.WithUnknownLeases(t.now.Add(t.unknownLease())))
+	t.setWorker(w.WithUnknownLeases(t.policy.LeaseEnd(t.now.Add(t.policy.MaxStaleRenewal))))
 }
 
 // expireLeases gives up the runs at an unreachable worker once its leases have
@@ -145,7 +127,8 @@
 	w = w.WithReport(e.Report, e.Deadline, longest, t.now)
 	t.setWorker(w)
 	if e.Silences != 0 {
-		t.emit(Renew{Worker: w.ID, Silences: e.Silences})
+		t.hear(w, e.Silences)
+		w, _ = t.fleet.get(w.ID)
 	}
 	t.handleEnds(w, e.Report)
 	if !outdated && !e.Report.Partial {
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -103,6 +103,9 @@
 	jobs           map[ledger.ID]ledger.Job
 	cancels        map[ledger.ID]bool
 	records        []leader.Record
+	leases         []leader.RecordLeases // not in the log yet
+	logged         leader.Leases         // as the log has them
+	confirmed      time.Time             // when the log last took a record of the leader
 	orders         []sentOrder
 	adviceCalls    []leader.RequestAdvice
 	acked          map[string]leader.Acknowledge
@@ -123,10 +126,11 @@
 // it: the leases are renewed, and orders that it was given may be carried out later.
 func (sm *simulation) losePoller(id string) {
 	target := sm.workers[id]
-	if !target.partitioned {
+	if !target.partitioned && sm.renewed[id] {
 		target.fence = max(target.fence, sm.epoch)
 		target.leaseEnd = later(target.leaseEnd, sm.now.Add(testLease))
 	}
+	delete(sm.renewed, id) // by whoever polls the worker next
 	sm.apply(leader.PollerLost{Worker: id})
 	for _, s := range slices.Clone(sm.orders) {
 		if s.order.Worker == id {
@@ -148,7 +152,7 @@
 			incarnation: 1, running: map[string]simRun{}, highestRun: map[string]int{},
 		}
 	}
-	sm.takeover()
+	sm.takeoverWith(leader.Leases{Others: sm.now})
 	return sm
 }
 
@@ -178,21 +182,29 @@
 
 // takeover replaces the leader by one that knows only the log. Orders of the old
 // leader remain in transit; its uncommitted records are lost.
-func (sm *simulation) takeover() { sm.takeoverWith(nil) }
+func (sm *simulation) takeover() {
+	leases := sm.logged
+	if leases.Others.IsZero() {
+		leases.Others = sm.policy().LeaseEnd(sm.confirmed.Add(sm.policy().MaxStaleRenewal))
+	}
+	sm.takeoverWith(leases)
+}
 
 // handover replaces the leader by one that is told of the leases that it doesn't renew.
 func (sm *simulation) handover() {
 	sm.release()
-	until := map[string]time.Time{}
-	for id, left := range sm.state.SilentLeases(sm.now) {
-		until[id] = sm.now.Add(left)
+	leases := sm.state.Leases()
+	if leases.Others.IsZero() {
+		leases.Others = sm.policy().LeaseEnd(sm.now)
 	}
-	sm.takeoverWith(until)
+	sm.takeoverWith(leases)
 }
 
-func (sm *simulation) takeoverWith(leases map[string]time.Time) {
+// takeoverWith has a new leader take over, which has the leases in the log with its first record.
+func (sm *simulation) takeoverWith(leases leader.Leases) {
 	sm.epoch++
 	sm.state = leader.New(sm.policy(), sm.now).WithInheritedLeases(leases)
+	sm.logged, sm.leases, sm.confirmed = leases, nil, sm.now
 	sm.renewed = map[string]bool{}
 	sm.records, sm.adviceCalls, sm.acked, sm.wakePending, sm.held = nil, nil, map[string]leader.Acknowledge{}, false, nil
 	for _, id := range sm.jobIDs() {
@@ -244,6 +256,8 @@
 		switch f := effect.(type) {
 		case leader.Record:
 			sm.records = append(sm.records, f)
+		case leader.RecordLeases:
+			sm.leases = append(sm.leases, f)
 		case leader.Order:
 			sm.orders = append(sm.orders, sentOrder{f, sm.epoch, sm.now.Add(testLease)})
 		case leader.Acknowledge:
@@ -265,6 +279,10 @@
 			return
 		}
 		batch := sm.records[0].Batch
+		for len(sm.leases) > 0 && sm.leases[0].Batch <= batch {
+			sm.logged, sm.leases = sm.leases[0].Leases, sm.leases[1:]
+		}
+		sm.confirmed = sm.now
 		for len(sm.records) > 0 && sm.records[0].Batch == batch {
 			if r := sm.records[0]; r.Job != "" {
 				sm.log[r.Job] = r.Progress
@@ -375,7 +393,7 @@
 // poll polls a worker, which renews its leases and reports.
 func (sm *simulation) poll(id string, answered bool) {
 	target := sm.workers[id]
-	renewed, deadline := sm.renewed[id], int64(0)
+	renewed, deadline := sm.renewed[id] && sm.now.Sub(sm.confirmed) < sm.policy().MaxStaleRenewal, int64(0)
 	if renewed {
 		deadline = sm.clock() + testLease.Milliseconds()
 	}
@@ -406,7 +424,7 @@
 		r.Partial, r.Running = true, nil
 	}
 	reported := leader.Reported{Worker: id, Report: r, Sent: sm.now, Deadline: deadline}
-	if !renewed {
+	if !sm.renewed[id] {
 		reported.Silences = 1
 	}
 	sm.apply(reported)
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -43,7 +43,10 @@
 	ReportedAt          time.Time // when the last report arrived
 	ReportedClock       int64     // monotonic clock of the worker in that report, in milliseconds
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
-	Renewed             bool      // its leases may be renewed: it has been heard and no poll has failed since
+	Renewed             bool      // the leader's record of leases says that those here are renewed
+	RenewedIn           int64     // batch of that record
+	Silences            int64     // of the last report whose sender renews no leases before a Renew
+	Granted             bool      // a Renew has been sent to whoever polls the worker
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
@@ -70,11 +73,12 @@
 	batch  int64
 }
 
-// open reports whether the worker may be given tasks: it is listed, answers and does not
-// drain, and the listing is not of an earlier incarnation, which may be of another kind.
+// open reports whether the worker may be given tasks: it is listed, answers, has its leases
+// renewed and does not drain, and the listing is not of an earlier incarnation, which may be
+// of another kind.
 func (w Worker) open() bool {
 	listed := w.Incarnation == 0 || w.ReportedIncarnation <= w.Incarnation
-	return w.Listed && listed && !w.Draining && w.Reachability == Reachable
+	return w.Listed && listed && !w.Draining && w.Reachability == Reachable && w.Renewed
 }
 
 // Free returns the capacity that is left.
@@ -165,7 +169,7 @@
 	if r.Clock >= w.ReportedClock {
 		w.ReportedAt, w.ReportedClock = now, r.Clock
 	}
-	w.LeaseDeadline, w.Renewed = max(w.LeaseDeadline, deadline), true
+	w.LeaseDeadline = max(w.LeaseDeadline, deadline)
 	return w
 }
 
@@ -195,46 +199,5 @@
 	return w
 }
 
-// leaseBound is the time by which all leases at a worker have expired, and what bounds it.
-type leaseBound struct {
-	until time.Time
-	by    string
-}
-
-// leaseBound returns the time by which all runs at an unreachable worker have ended
-// because its leases have expired, allowing for clock drift.
-func (w Worker) leaseBound(s State) leaseBound {
-	bound := leaseBound{s.leadingSince.Add(s.unknownLease()), "the takeover"}
-	if until, known := s.inheritedLeases[w.ID]; known && until.Before(bound.until) {
-		bound = leaseBound{until, "an earlier leader"}
-	}
-	if !w.ReportedAt.IsZero() {
-		left := time.Duration(w.LeaseDeadline-w.ReportedClock) * time.Millisecond
-		bound = leaseBound{w.ReportedAt.Add(onSlowestClock(max(left, 0))), "its last report"}
-	}
-	if w.LeasesUntil.After(bound.until) {
-		return leaseBound{w.LeasesUntil, "the loss of its caller"}
-	}
-	return bound
-}
-
-// unknownLease returns how long a lease may be in force that another entry has sent
-// or may still send, since it does not know yet that it must not.
-func (s State) unknownLease() time.Duration {
-	return s.policy.MaxStaleRenewal + onSlowestClock(s.policy.Lease)
-}
-
-// WithUnknownLeases returns the worker with leases in force up to a time.
-func (w Worker) WithUnknownLeases(until time.Time) Worker {
-	w.LeasesUntil = until
-	return w
-}
-
-// onSlowestClock returns the longest real time in which d passes on a worker's
-// monotonic clock.
-func onSlowestClock(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / (1 - maxClockDrift))
-}
-
 // runKey returns the key of a run of a task.
 func runKey(task string, run int) string { return task + "#" + strconv.Itoa(run) }
