Tell the callers of a worker apart when leases are renewed

Cause: whoever polls a worker for the leader renews its leases once the leader, having had its report, tells it to. Nothing said which caller was meant. If the worker changed hands in between, the next caller took the order for its own, as both number their first silence 1, and renewed leases that the leader knew nothing of. Found on reading; no caller has reported either.

Change: reports, orders to renew and losses of callers name the caller, by the session of a deputy. Numbers of silences don't repeat within a caller. A loss extends the wait only if that caller was told to renew; one that is told late, after the next caller has heard the worker or polled it in vain, is counted when that becomes known.

Result: TestNoCallerRenewsLeasesInPlaceOfAnother, TestALostCallerThatRenewed- NothingLeavesNoLeases and TestTheLossOfACallerMayBeToldLate pass.

Tests: fakes answer reports with the caller in them, and failed polls name the incarnation that their caller has heard, as real ones do. The loss of a caller is looked for with its session.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -72,11 +73,12 @@
 	Polls         metrics.Timer
 	Orders        metrics.Timer
 
-	ctx    context.Context
-	group  errgroup.Group
-	mu     sync.Mutex
-	states map[string]*workerState
-	floor  int64 // no call to a worker that is not watched any more has a higher fence
+	ctx      context.Context
+	group    errgroup.Group
+	mu       sync.Mutex
+	states   map[string]*workerState
+	floor    int64        // no call to a worker that is not watched any more has a higher fence
+	silences atomic.Int64 // the last number of a silence
 }
 
 // Start prepares the commander. The context bounds all its calls.
@@ -106,7 +108,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	s := &workerState{address: e.Address, cancel: cancel, silences: 1, orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
+	s := &workerState{address: e.Address, cancel: cancel, silences: c.nextSilence(), orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
 	s.fence = max(c.floor, e.Floor)
 	c.states[e.Worker] = s
@@ -117,6 +119,10 @@
 	})
 }
 
+// nextSilence returns a number of a silence, which no other one of this commander has: a Renew
+// must not apply to a worker that is watched anew.
+func (c *Commander) nextSilence() int64 { return c.silences.Add(1) }
+
 // Unwatch stops polling a worker.
 func (c *Commander) Unwatch(e leader.StopPolling) {
 	c.mu.Lock()
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -85,7 +85,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r, ok := event.(leader.Reported); ok && r.Silences != 0 && e.renew != nil {
-		e.renew(leader.Renew{Worker: r.Worker, Silences: r.Silences})
+		e.renew(leader.Renew{Worker: r.Worker, Caller: r.Caller, Silences: r.Silences})
 	}
 	e.all = append(e.all, event)
 }
--- a/internal/commands/commander/polls.go
+++ b/internal/commands/commander/polls.go
@@ -132,7 +132,7 @@
 	case classifier.Is(err, classifier.Fenced) && s.raised(a.to.Fence):
 		return // a call with the higher fence has overtaken the poll
 	}
-	if deadline, missed := s.recordMiss(a.heard); missed {
+	if deadline, missed := s.recordMiss(a.heard, c.nextSilence()); missed {
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline})
 	}
 }
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -20,7 +20,7 @@
 	closed       bool          // the worker is not watched any more
 	ackChanged   chan struct{} // signaled when acked or renewedIn changes
 	unanswered   bool          // the last poll got no answer
-	silences     int64         // times that a poll got no answer, and 1
+	silences     int64         // changes each time that a poll gets no answer
 	renewedIn    int64         // silences at which the leader had the leases renewed
 	fullReportAt time.Time     // when running tasks were last reported
 	cancel       context.CancelFunc
@@ -113,15 +113,16 @@
 // recordMiss records a poll without an answer that was sent after an incarnation had been
 // heard, unless another one has been heard since, which it returns as false. It resets
 // acked: what the worker reports after that is acknowledged anew. It returns the latest
-// lease deadline sent, be it with a poll that is still in flight.
-func (s *workerState) recordMiss(incarnation int64) (int64, bool) {
+// lease deadline sent, be it with a poll that is still in flight. The number is that of the
+// silence.
+func (s *workerState) recordMiss(incarnation, silence int64) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if incarnation != s.incarnation {
 		return 0, false
 	}
 	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
-	s.silences++
+	s.silences = silence
 	s.closeIdle()
 	return s.leaseDeadline, true
 }
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -177,7 +177,7 @@
 	}
 	d.group.Go(func() error {
 		for id := range moved {
-			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id})
+			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id, Caller: p.session})
 		}
 		for _, o := range outcomes {
 			d.Sink.Submit(d.Epoch, o)
@@ -394,14 +394,19 @@
 	d.Local.Poll(e)
 }
 
-// Renew has the leases of a worker renewed with the next polls.
+// Renew has the leases of a worker renewed with the next polls, if its caller is still the one
+// that has heard it.
 func (d *Delegator) Renew(e leader.Renew) {
 	if p := d.lockDeputy(e.Worker); p != nil {
 		defer d.mu.Unlock()
-		p.put(Command{Renew: &e})
+		if e.Caller == p.session {
+			p.put(Command{Renew: &e})
+		}
 		return
 	}
-	d.Local.Renew(e)
+	if e.Caller == 0 {
+		d.Local.Renew(e)
+	}
 }
 
 // Acknowledge lets a worker forget ended runs with the next poll.
@@ -464,7 +469,7 @@
 	d.mu.Unlock()
 	events := make([]leader.Event, 0, len(e.List))
 	for _, event := range e.List {
-		if known := event.since(began); known != nil {
+		if known := event.since(began, e.Session); known != nil {
 			events = append(events, known)
 		}
 	}
@@ -479,10 +484,10 @@
 // answer, whose time is that of the event, as arrived too late: what a report lacks
 // must not count as over if it was started by way of another entry while the worker
 // was polled.
-func (e Event) since(began time.Time) leader.Event {
+func (e Event) since(began time.Time, session int64) leader.Event {
 	switch {
 	case e.Report != nil:
-		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Silences: e.Report.Silences}
+		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Caller: session, Silences: e.Report.Silences}
 	case e.Failed != nil:
 		return *e.Failed
 	case e.Answer != nil:
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -100,7 +100,7 @@
 		s.events = append(s.events, b.Events...)
 		for _, event := range b.Events {
 			if r, ok := event.(leader.Reported); ok && r.Silences != 0 {
-				s.renew(leader.Renew{Worker: r.Worker, Silences: r.Silences})
+				s.renew(leader.Renew{Worker: r.Worker, Caller: r.Caller, Silences: r.Silences})
 			}
 		}
 		return
@@ -108,6 +108,13 @@
 	s.events = append(s.events, e)
 }
 
+// ignoreReports has leases renewed no more in answer to reports.
+func (s *sink) ignoreReports() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renew = func(leader.Renew) {}
+}
+
 func (s *sink) clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -406,11 +413,45 @@
 		return poll.Continue("order not sent yet")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 	c.setCut("a")
-	c.sink.await(t, "leases of the lost deputy", func(e leader.Event) bool { return e == leader.PollerLost{Worker: "w"} })
+	c.sink.await(t, "leases of the lost deputy", callerLost("w"))
 	c.sink.await(t, "outcome", answered(leader.OutcomeUnknown))
 	assert.Equal(t, c.local.count(), 1)
 }
 
+// callerLost reports the loss of a deputy that called a worker.
+func callerLost(worker string) func(e leader.Event) bool {
+	return func(e leader.Event) bool {
+		lost, ok := e.(leader.PollerLost)
+		return ok && lost.Worker == worker && lost.Caller > 0
+	}
+}
+
+// Guards against leases that are renewed without the leader's knowledge: what it tells a caller
+// that has heard a worker must not reach the next one, which may have heard nothing.
+func TestNoCallerRenewsLeasesInPlaceOfAnother(t *testing.T) {
+	c := newCell(t, -1, "a", "b")
+	c.delegator.Watch(watch("w"))
+	var first leader.Reported
+	c.sink.await(t, "report", func(e leader.Event) bool {
+		r, ok := e.(leader.Reported)
+		first = r
+		return ok && r.Caller > 0
+	})
+	lost, next := "a", "b"
+	if c.workers["b"].lastFence() > 0 {
+		lost, next = "b", "a"
+	}
+	c.sink.ignoreReports()
+	c.setCut(lost)
+	c.sink.await(t, "loss of the caller", callerLost("w"))
+	for silences := range int64(50) {
+		c.delegator.Renew(leader.Renew{Worker: "w", Caller: first.Caller, Silences: silences})
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, c.workers[next].lastFence() > 0)
+	assert.Equal(t, c.workers[next].lastDeadline(), int64(0))
+}
+
 // A deputy that the leader no longer confirms renews no leases and sends no orders:
 // the leader may have been replaced, or this process was paused.
 func TestAPermissionOfADeputyExpires(t *testing.T) {
--- a/internal/commands/delegator/fence_test.go
+++ b/internal/commands/delegator/fence_test.go
@@ -6,8 +6,6 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/endivelock/endivelock/internal/leader"
 )
 
 // Guards against calls of a lost deputy that a worker executes late, at another incarnation:
@@ -23,7 +21,7 @@
 	}
 	c.still.Store(true)
 	c.setCut(lost)
-	c.sink.await(t, "leases of the lost deputy", func(e leader.Event) bool { return e == leader.PollerLost{Worker: "w"} })
+	c.sink.await(t, "leases of the lost deputy", callerLost("w"))
 	c.sink.clear()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if c.workers[next].lastFence() > 0 {
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -207,7 +207,7 @@
 	first, second := h.running["j.0.0.0"], h.running["j.0.0.1"]
 	assert.Assert(t, first != second)
 	for _, id := range []string{first, second} {
-		h.apply(leader.PollFailed{Worker: id})
+		h.apply(leader.PollFailed{Worker: id, Incarnation: 1})
 	}
 	h.advance(8 * time.Second)
 	again := h.running["j.0.0.0"]
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -64,10 +64,12 @@
 // PollNow polls a worker immediately.
 type PollNow struct{ Worker string }
 
-// Renew has whoever polls a worker renew the leases there, until a poll fails. Silences is
-// that of the report that the worker was heard with; a later silence cancels it.
+// Renew has the caller of a worker renew the leases there, until a poll fails. Caller and
+// Silences are those of the report that the worker was heard with: another caller, or a later
+// silence, cancels it.
 type Renew struct {
 	Worker   string
+	Caller   int64
 	Silences int64
 }
 
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -72,7 +72,8 @@
 	Report   Report
 	Sent     time.Time // when the worker was polled, by the clock of OrderAnswered.At
 	Deadline int64     // end of the lease sent with the poll, on the worker's clock, in milliseconds
-	Silences int64     // set while whoever polled renews no leases before a Renew with this number
+	Caller   int64     // who polled: 0 for the leader itself, otherwise the session of a deputy
+	Silences int64     // set while the caller renews no leases before a Renew with this number
 }
 
 // PollFailed reports that a worker was polled and no report arrived.
@@ -85,7 +86,10 @@
 // PollerLost reports that nothing is known any more of the polls that were sent to a
 // worker: whoever sent them may have renewed the leases there and go on for as long
 // as a deposed leader.
-type PollerLost struct{ Worker string }
+type PollerLost struct {
+	Worker string
+	Caller int64 // as in Reported
+}
 
 // Committed reports that all batches of records up to Batch are in the log.
 type Committed struct{ Batch int64 }
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -91,12 +91,21 @@
 	return bound
 }
 
-// WithUnknownLeases returns the worker with leases in force up to a time.
-func (w Worker) WithUnknownLeases(until time.Time) Worker {
-	w.LeasesUntil = until
+// WithLostCaller returns the worker without whoever polled it. If that one was told to renew
+// leases, these are in force until a time.
+func (w Worker) WithLostCaller(until time.Time) Worker {
+	if w.Granted && until.After(w.LeasesUntil) {
+		w.LeasesUntil = until
+	}
+	w.Granted = false
 	return w
 }
 
+// lostCaller returns the worker without whoever polled it up to now.
+func (t *transition) lostCaller(w Worker) Worker {
+	return w.WithLostCaller(t.policy.LeaseEnd(t.now.Add(t.policy.MaxStaleRenewal)))
+}
+
 // WithRenewal returns the worker with its leases renewed according to the record of leases
 // in a batch.
 func (w Worker) WithRenewal(batch int64) Worker {
@@ -110,8 +119,11 @@
 }
 
 // hear has the leases of a worker renewed whose caller renews none before a Renew.
-func (t *transition) hear(w Worker, silences int64) {
-	w.Silences, w.Granted = silences, false
+func (t *transition) hear(w Worker, e Reported) {
+	if w.Caller != e.Caller {
+		w = t.lostCaller(w) // its PollerLost may come later
+	}
+	w.Caller, w.Silences, w.Granted = e.Caller, e.Silences, false
 	t.setWorker(w)
 	switch {
 	case !w.Renewed:
@@ -127,7 +139,7 @@
 func (t *transition) renew(w Worker) {
 	w.Granted = true
 	t.setWorker(w)
-	t.emit(Renew{Worker: w.ID, Silences: w.Silences})
+	t.emit(Renew{Worker: w.ID, Caller: w.Caller, Silences: w.Silences})
 }
 
 // withhold records that the leases of a silent worker with runs are no longer renewed.
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -68,6 +68,49 @@
 	assert.Assert(t, h.now.Sub(lost) < staleRenewal+testLease+time.Second, "given up after %v", h.now.Sub(lost))
 }
 
+// Guards against runs that are never given up while callers of their worker are lost in
+// series: one that has not been told to renew leases leaves none in force.
+func TestALostCallerThatRenewedNothingLeavesNoLeases(t *testing.T) {
+	h := startedRun(t)
+	h.report("w00")
+	lost := h.now
+	h.apply(leader.PollerLost{Worker: "w00"})
+	for h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute {
+		h.apply(leader.PollFailed{Worker: "w00"})
+		h.advance(time.Second)
+		h.apply(leader.PollerLost{Worker: "w00"})
+	}
+	const staleRenewal = 5 * time.Second
+	assert.Assert(t, h.now.Sub(lost) >= staleRenewal+testLease, "given up after %v", h.now.Sub(lost))
+	assert.Assert(t, h.now.Sub(lost) < staleRenewal+testLease+2*time.Second, "given up after %v", h.now.Sub(lost))
+}
+
+// Guards against leases that are given up too early: the loss of a caller may be told after
+// the next one has heard the worker, or has polled it in vain.
+func TestTheLossOfACallerMayBeToldLate(t *testing.T) {
+	for name, next := range map[string]func(h *harness){
+		"polled in vain": func(h *harness) { h.apply(leader.PollFailed{Worker: "w00"}) },
+		"heard": func(h *harness) {
+			r := leader.Report{Incarnation: 1, Clock: h.now.UnixMilli(), Partial: true}
+			h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Caller: 2, Silences: 1})
+			h.apply(leader.PollFailed{Worker: "w00", Incarnation: 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startedRun(t)
+			h.report("w00")
+			h.advance(time.Second)
+			lost := h.now
+			next(h)
+			h.apply(leader.PollerLost{Worker: "w00"})
+			for h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute {
+				h.advance(100 * time.Millisecond)
+			}
+			assert.Assert(t, h.now.Sub(lost) >= 5*time.Second+testLease, "given up after %v", h.now.Sub(lost))
+		})
+	}
+}
+
 // Guards against runs that are given up an hour late: a poll of an earlier incarnation that
 // failed after the later one had reported left a deadline on the clock of the earlier one.
 func TestAFailedPollOfAnEarlierIncarnationSaysNothing(t *testing.T) {
@@ -181,7 +224,7 @@
 func TestALeaderThatResignsHandsOnHowLongLeasesLast(t *testing.T) {
 	first := startedRun(t)
 	first.report("w00")
-	first.apply(leader.PollFailed{Worker: "w00"})
+	first.apply(leader.PollFailed{Worker: "w00", Incarnation: 1})
 	silent := first.now
 	first.advance(2 * time.Second)
 	leases := first.state.Leases()
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -66,17 +66,18 @@
 	before := w.Reachability
 	w = w.WithReachability(Unreachable)
 	w.LeaseDeadline = max(w.LeaseDeadline, e.Deadline)
+	if e.Incarnation == 0 {
+		w = t.lostCaller(w) // a caller that was told to renew leases has heard the worker
+	}
 	w = t.withhold(w)
 	t.logSilence(w, before)
 	t.expireLeases(w)
 }
 
 func (e PollerLost) apply(t *transition) {
-	w, ok := t.fleet.get(e.Worker)
-	if !ok || !w.Granted {
-		return // whoever is lost has renewed no leases
+	if w, ok := t.fleet.get(e.Worker); ok && w.Caller == e.Caller {
+		t.setWorker(t.lostCaller(w))
 	}
-	t.setWorker(w.WithUnknownLeases(t.policy.LeaseEnd(t.now.Add(t.policy.MaxStaleRenewal))))
 }
 
 // expireLeases gives up the runs at an unreachable worker once its leases have
@@ -127,7 +128,7 @@
 	w = w.WithReport(e.Report, e.Deadline, longest, t.now)
 	t.setWorker(w)
 	if e.Silences != 0 {
-		t.hear(w, e.Silences)
+		t.hear(w, e)
 		w, _ = t.fleet.get(w.ID)
 	}
 	t.handleEnds(w, e.Report)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -109,7 +109,8 @@
 	orders         []sentOrder
 	adviceCalls    []leader.RequestAdvice
 	acked          map[string]leader.Acknowledge
-	renewed        map[string]bool // workers whose leases each poll renews
+	renewed        map[string]bool  // workers whose leases each poll renews
+	heard          map[string]int64 // incarnation that whoever polls a worker has heard last
 	workers        map[string]*simWorker
 	endedDone      map[string]bool // tasks with a run that ended as done
 	doneForgotten  map[string]bool // tasks whose end as done was acknowledged and forgotten by the worker
@@ -131,6 +132,7 @@
 		target.leaseEnd = later(target.leaseEnd, sm.now.Add(testLease))
 	}
 	delete(sm.renewed, id) // by whoever polls the worker next
+	delete(sm.heard, id)
 	sm.apply(leader.PollerLost{Worker: id})
 	for _, s := range slices.Clone(sm.orders) {
 		if s.order.Worker == id {
@@ -205,7 +207,7 @@
 	sm.epoch++
 	sm.state = leader.New(sm.policy(), sm.now).WithInheritedLeases(leases)
 	sm.logged, sm.leases, sm.confirmed = leases, nil, sm.now
-	sm.renewed = map[string]bool{}
+	sm.renewed, sm.heard = map[string]bool{}, map[string]int64{}
 	sm.records, sm.adviceCalls, sm.acked, sm.wakePending, sm.held = nil, nil, map[string]leader.Acknowledge{}, false, nil
 	for _, id := range sm.jobIDs() {
 		e := leader.Accepted{Job: sm.jobs[id]}
@@ -399,7 +401,7 @@
 	}
 	if target.partitioned || !answered {
 		delete(sm.renewed, id)
-		sm.apply(leader.PollFailed{Worker: id, Deadline: deadline})
+		sm.apply(leader.PollFailed{Worker: id, Incarnation: sm.heard[id], Deadline: deadline})
 		if target.partitioned {
 			return
 		}
@@ -414,6 +416,7 @@
 	if !answered {
 		return
 	}
+	sm.heard[id] = target.incarnation
 	r := leader.Report{Incarnation: target.incarnation, Clock: sm.clock(), Ended: slices.Clone(target.ends)}
 	for _, key := range sortedKeys(target.running) {
 		running := target.running[key]
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -45,8 +45,9 @@
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
 	Renewed             bool      // the leader's record of leases says that those here are renewed
 	RenewedIn           int64     // batch of that record
-	Silences            int64     // of the last report whose sender renews no leases before a Renew
-	Granted             bool      // a Renew has been sent to whoever polls the worker
+	Caller              int64     // who sent the last report with Silences
+	Silences            int64     // as in that report
+	Granted             bool      // a Renew was sent to that caller, which no poll has failed for since
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
