End leaders in series in the soak, and time runs after the loss of a runner

Cause: the soak ended entries at random, and one of nine leads.

Change: two troubles end 3 to 5 leaders, 3.5 to 5 s apart, by SIGKILL, by SIGTERM or by either; the store tells who leads. Each entry is back after 0.3 to 3 s. From 2 s before the first end until the last one or two runners are lost, preferably with tasks that last: for good in one trouble, for 8 to 20 s in the other. The line of a round tells the longest time from the loss of a runner to the next run of a task that ran there, and how many tasks with room never had one; it breaks no rule.

Conclusion: the judge reports the fault where the runner is gone for good well before the last leader ends and no trouble comes after. Where the runner returns late it can't, since its absence counts as a trouble; there only the time shows it.

--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -200,7 +200,7 @@
 		}
 	}
 	values := map[string]any{
-		"node": fmt.Sprintf("front-%d", index+1), "zone": zones()[index%len(zones())], "listen.front": fmt.Sprintf("%s:%d", ip, frontPort),
+		"node": entryName(index), "zone": zones()[index%len(zones())], "listen.front": fmt.Sprintf("%s:%d", ip, frontPort),
 		"listen.ready": fmt.Sprintf("%s:%d", ip, readyPort), "ip": ip, "port_range.0": peersPort, "platform.addr": platform, "advice": adviser,
 		"bounds.hold_max_ms": holdMax.Milliseconds(), "bounds.grace_s": 6, "bounds.status_s": 120, "limits.cpu_share": 0.4, "limits.memory_mb": 284,
 	}
@@ -222,6 +222,8 @@
 	return p.start()
 }
 
+func entryName(index int) string { return fmt.Sprintf("front-%d", index+1) }
+
 func (c *cell) settingsPath(index int) string {
 	return filepath.Join(c.folder, fmt.Sprintf("node-%d.toml", index+1))
 }
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -60,6 +60,13 @@
 	return nil
 }
 
+// runs reports whether the process runs and isn't asked to end.
+func (p *process) runs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil && !p.expected
+}
+
 // signal sends a signal. It returns what is closed at the end of the process, or nil if
 // there is none.
 func (p *process) signal(sig syscall.Signal) <-chan struct{} {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -45,6 +45,9 @@
 	size     room
 }
 
+// lostEnd is how a run ends that is lost with its runner.
+const lostEnd = "lost with its runner"
+
 // end is the end of a run.
 type end struct {
 	number int64
@@ -128,7 +131,7 @@
 	w.record.add("runner %s crashes", w.id)
 	w.up = false
 	for _, t := range w.running {
-		w.closeStart(t, "lost with its runner")
+		w.closeStart(t, lostEnd)
 	}
 	w.running = map[string]*task{}
 }
--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -243,6 +243,7 @@
 
 // summary describes a round.
 func (s *soak) summary() string {
+	restarts := s.cell.restarts()
 	s.cell.board.mu.Lock()
 	defer s.cell.board.mu.Unlock()
 	accepted, runs, done := 0, 0, 0
@@ -252,7 +253,7 @@
 		}
 		runs, done = runs+t.runs, done+len(t.done)
 	}
-	return fmt.Sprintf("%d jobs, %d accepted, %d runs, %d tasks done", len(s.cell.board.jobs), accepted, runs, done)
+	return fmt.Sprintf("%d jobs, %d accepted, %d runs, %d tasks done; %s", len(s.cell.board.jobs), accepted, runs, done, restarts)
 }
 
 // runSoak plays rounds with one seed each and returns the exit code.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -101,6 +101,13 @@
 	return t
 }
 
+// value returns the newest value of a key, or nil.
+func (s *store) value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.get(name).newest[key].value
+}
+
 // put adds a value, as the operator or a runner does. A nil value drops the key.
 func (s *store) put(name, key string, value any) {
 	var data []byte
--- a/review/standin/trouble.go
+++ b/review/standin/trouble.go
@@ -18,7 +18,7 @@
 	return []trouble{
 		{"term", playTerm}, {"term", playTerm}, {"roll", playRoll}, {"kill", playKill}, {"freeze", playFreeze}, {"slices", playSlices}, {"jitter", playJitter},
 		{"crash", playCrash}, {"gone", playGone}, {"slow store", playSlowStore}, {"store away", playStoreAway}, {"configuration", playConfiguration},
-		{"odd entry", playOddEntry}, {"hup", playHup},
+		{"odd entry", playOddEntry}, {"hup", playHup}, {"leaders, gone", playLeadersGone}, {"leaders, late", playLeadersLate},
 	}
 }
 
@@ -28,14 +28,17 @@
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
-func playTerm(s *soak, r *rand.Rand) { s.playAway(r, (*process).stop) }
+func playTerm(s *soak, r *rand.Rand) { s.playAnyAway(r, (*process).stop) }
 
-func playKill(s *soak, r *rand.Rand) { s.playAway(r, (*process).kill) }
+func playKill(s *soak, r *rand.Rand) { s.playAnyAway(r, (*process).kill) }
 
-// playAway ends a process and starts it again some time later.
-func (s *soak) playAway(r *rand.Rand, end func(*process)) {
+func (s *soak) playAnyAway(r *rand.Rand, end func(*process)) {
 	p := s.anyEntry(r)
-	away := between(r, 200*time.Millisecond, 3*time.Second)
+	s.playAway(p, between(r, 200*time.Millisecond, 3*time.Second), end)
+}
+
+// playAway ends a process and starts it again some time later.
+func (s *soak) playAway(p *process, away time.Duration, end func(*process)) {
 	end(p)
 	_ = pause(s.ctx, away)
 	s.failed(p.start())
@@ -97,7 +100,11 @@
 func playCrash(s *soak, r *rand.Rand) {
 	runners := s.cell.allRunners()
 	w := runners[r.IntN(len(runners))]
-	away := between(r, 300*time.Millisecond, 4*time.Second)
+	s.darken(w, between(r, 300*time.Millisecond, 4*time.Second))
+}
+
+// darken takes the power from a runner for some time.
+func (s *soak) darken(w *runner, away time.Duration) {
 	w.mu.Lock()
 	up := w.up
 	w.mu.Unlock()
@@ -112,7 +119,10 @@
 // playGone has a runner leave for good, and another one join.
 func playGone(s *soak, r *rand.Rand) {
 	runners := s.cell.allRunners()
-	w := runners[r.IntN(len(runners))]
+	s.leaveForGood(r, runners[r.IntN(len(runners))])
+}
+
+func (s *soak) leaveForGood(r *rand.Rand, w *runner) {
 	w.mu.Lock()
 	up, kind := w.up, w.kind
 	w.mu.Unlock()
@@ -122,7 +132,7 @@
 	w.goDark()
 	_ = pause(s.ctx, 3*heartbeat)
 	s.cell.store.put("keyed.servers", w.id, nil)
-	_, err := s.cell.addRunner(r.IntN(len(runners)), kind, w.room, 0)
+	_, err := s.cell.addRunner(r.IntN(len(s.cell.allRunners())), kind, w.room, 0)
 	s.failed(err)
 }
 
