Number silences over all callers of a worker

Cause: a failed poll did not say which caller it was of, nor when, in relation to reports. One that was told after a later report, or by a caller whose worker another one had taken over, made the leader record that the leases there weren't renewed, although they were. Nothing corrected that: the worker got no work, and whoever led next could give its runs up while they went on. Found by a review of the record of leases; no caller has seen it.

Change: the delegator numbers each watch of a worker, and a caller numbers its silences from there. So numbers rise over all callers, and what is older than the last silence has no effect. They take the place of the callers' names in reports, orders to renew and losses. A worker that is no longer watched gets no leases, and its failed polls aren't told.

Result: TestAFailedPollThatIsToldLateWithholdsNothing and TestAPollOfAWorker- ThatIsNoLongerWatchedSaysNothing pass, and fail with their part switched off (the worker is named; two failures are told). The tests of lost callers fail with theirs as before.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -73,12 +72,11 @@
 	Polls         metrics.Timer
 	Orders        metrics.Timer
 
-	ctx      context.Context
-	group    errgroup.Group
-	mu       sync.Mutex
-	states   map[string]*workerState
-	floor    int64        // no call to a worker that is not watched any more has a higher fence
-	silences atomic.Int64 // the last number of a silence
+	ctx    context.Context
+	group  errgroup.Group
+	mu     sync.Mutex
+	states map[string]*workerState
+	floor  int64 // no call to a worker that is not watched any more has a higher fence
 }
 
 // Start prepares the commander. The context bounds all its calls.
@@ -108,7 +106,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	s := &workerState{address: e.Address, cancel: cancel, silences: c.nextSilence(), orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
+	s := &workerState{address: e.Address, cancel: cancel, silence: leader.FirstSilence(e.Watch), orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
 	s.fence = max(c.floor, e.Floor)
 	c.states[e.Worker] = s
@@ -119,10 +117,6 @@
 	})
 }
 
-// nextSilence returns a number of a silence, which no other one of this commander has: a Renew
-// must not apply to a worker that is watched anew.
-func (c *Commander) nextSilence() int64 { return c.silences.Add(1) }
-
 // Unwatch stops polling a worker.
 func (c *Commander) Unwatch(e leader.StopPolling) {
 	c.mu.Lock()
@@ -157,8 +151,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Silences == s.silences {
-		s.renewedIn = e.Silences
+	if e.Silence == s.silence {
+		s.renewedIn = e.Silence
 		s.signal()
 	}
 }
@@ -203,7 +197,7 @@
 // leader knows of them. The caller holds the lock of the worker's state.
 func (c *Commander) renewal(s *workerState, now time.Time) Values {
 	v := ValuesFor(s.incarnation)
-	if s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silences || !c.permitted(now) {
+	if s.closed || s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silence || !c.permitted(now) {
 		return v
 	}
 	s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
--- a/internal/commands/commander/commander_test.go
+++ b/internal/commands/commander/commander_test.go
@@ -84,8 +84,8 @@
 func (e *events) Submit(_ int64, event leader.Event) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r, ok := event.(leader.Reported); ok && r.Silences != 0 && e.renew != nil {
-		e.renew(leader.Renew{Worker: r.Worker, Caller: r.Caller, Silences: r.Silences})
+	if r, ok := event.(leader.Reported); ok && r.Silence != 0 && e.renew != nil {
+		e.renew(leader.Renew{Worker: r.Worker, Silence: r.Silence})
 	}
 	e.all = append(e.all, event)
 }
@@ -269,7 +269,7 @@
 		}
 		return poll.Continue("no poll has failed yet")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
-	assert.Equal(t, sink.failures()[0], leader.PollFailed{Worker: "w", Incarnation: 1, Deadline: polls[1].Values.Deadline()})
+	assert.Equal(t, sink.failures()[0], leader.PollFailed{Worker: "w", Incarnation: 1, Deadline: polls[1].Values.Deadline(), Silence: leader.FirstSilence(0) + 1})
 }
 
 // Guards against a worker at a new address that is taken for the one at the old address:
@@ -303,12 +303,12 @@
 	for _, to := range polls {
 		assert.Equal(t, to.Values.Deadline(), int64(0))
 	}
-	c.Renew(leader.Renew{Worker: "w", Silences: 1})
+	c.Renew(leader.Renew{Worker: "w", Silence: 1})
 	w.set(leader.Report{Incarnation: 1, Clock: 3000}, nil)
 	polls, _ = awaitPolls(t, w, 2)
 	assert.Equal(t, polls[1].Values.Deadline(), int64(0), "there was a silence since")
 	reports := sink.reports(1)
-	c.Renew(leader.Renew{Worker: "w", Silences: reports[len(reports)-1].Silences})
+	c.Renew(leader.Renew{Worker: "w", Silence: reports[len(reports)-1].Silence})
 	w.set(leader.Report{Incarnation: 1, Clock: 4000}, nil)
 	polls, _ = awaitPolls(t, w, 2)
 	assert.Assert(t, polls[1].Values.Deadline() > 4000)
@@ -419,3 +419,45 @@
 	polls, _ := w.seen()
 	assert.Assert(t, polls[len(polls)-1].Fence > earlier[len(earlier)-1].Fence)
 }
+
+// hangingWorkers answer polls that don't wait only after a while, and then in vain.
+type hangingWorkers struct {
+	*workers
+	hang atomic.Bool
+}
+
+func (h *hangingWorkers) Connect(string) commander.Connection { return h }
+
+func (h *hangingWorkers) Poll(ctx context.Context, to commander.Target, wait time.Duration) (leader.Report, error) {
+	if wait == 0 && h.hang.Load() {
+		time.Sleep(300 * time.Millisecond)
+		return leader.Report{}, &classifier.Error{Kind: classifier.Unanswered}
+	}
+	return h.workers.Poll(ctx, to, wait)
+}
+
+// Guards against leases that are said not to be renewed although the next caller renews them:
+// a poll of a worker that was given to another caller failed.
+func TestAPollOfAWorkerThatIsNoLongerWatchedSaysNothing(t *testing.T) {
+	w := &hangingWorkers{workers: &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}}
+	logger, _ := test.NewNullLogger()
+	sink := &events{}
+	c := &commander.Commander{
+		Workers: w, Sink: sink, Logger: logger, Epoch: 7, Lease: 6 * time.Second, Renewal: time.Second,
+		LastConfirmed: time.Now, Fence: func() int64 { return 9 }, Polls: metrics.NewTimer(), Orders: metrics.NewTimer(),
+	}
+	sink.renew = c.Renew
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Start(ctx)
+	defer c.Wait()
+	defer cancel()
+	c.Watch(leader.StartPolling{Worker: "w", Address: "a"})
+	awaitPolls(t, w.workers, 3)
+	w.hang.Store(true)
+	c.Poll(leader.PollNow{Worker: "w"})
+	time.Sleep(50 * time.Millisecond)
+	c.Unwatch(leader.StopPolling{Worker: "w"})
+	before := len(sink.failures())
+	time.Sleep(time.Second)
+	assert.Equal(t, len(sink.failures()), before, "%+v", sink.failures())
+}
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -329,8 +329,8 @@
 			at.read[end.Number] = true
 			f.commander.Acknowledge(leader.Acknowledge{Worker: "w", Incarnation: at.number, Number: end.Number})
 		}
-		if e.Silences != 0 {
-			f.commander.Renew(leader.Renew{Worker: "w", Silences: e.Silences})
+		if e.Silence != 0 {
+			f.commander.Renew(leader.Renew{Worker: "w", Silence: e.Silence})
 		}
 	case leader.PollFailed:
 		if e.Incarnation != 0 {
--- a/internal/commands/commander/polls.go
+++ b/internal/commands/commander/polls.go
@@ -85,7 +85,7 @@
 		c.handleFailure(worker, s, l, a, err)
 		return err
 	}
-	full, silences := s.recordReport(report, l, a, wait == 0)
+	full, silence := s.recordReport(report, l, a, wait == 0)
 	if !full {
 		report.Running, report.Partial = nil, true
 	}
@@ -93,7 +93,7 @@
 	if a.to.Values.Incarnation() == report.Incarnation {
 		deadline = a.to.Values.Deadline()
 	}
-	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: a.sent, Deadline: deadline, Silences: silences})
+	c.Sink.Submit(c.Epoch, leader.Reported{Worker: worker, Report: report, Sent: a.sent, Deadline: deadline, Silence: silence})
 	return nil
 }
 
@@ -132,8 +132,8 @@
 	case classifier.Is(err, classifier.Fenced) && s.raised(a.to.Fence):
 		return // a call with the higher fence has overtaken the poll
 	}
-	if deadline, missed := s.recordMiss(a.heard, c.nextSilence()); missed {
-		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline})
+	if deadline, silence, missed := s.recordMiss(a.heard); missed {
+		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline, Silence: silence})
 	}
 }
 
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -20,8 +20,8 @@
 	closed       bool          // the worker is not watched any more
 	ackChanged   chan struct{} // signaled when acked or renewedIn changes
 	unanswered   bool          // the last poll got no answer
-	silences     int64         // changes each time that a poll gets no answer
-	renewedIn    int64         // silences at which the leader had the leases renewed
+	silence      int64         // number of the last silence, one more each time that a poll gets no answer
+	renewedIn    int64         // the silence after which the leader had the leases renewed
 	fullReportAt time.Time     // when running tasks were last reported
 	cancel       context.CancelFunc
 	orderSlots   chan struct{}
@@ -84,7 +84,7 @@
 func (s *workerState) followed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.acked >= s.lastEnd && s.renewedIn == s.silences
+	return s.acked >= s.lastEnd && s.renewedIn == s.silence
 }
 
 // admits reports whether a report that was asked for with a fence may be accepted. A new
@@ -113,23 +113,23 @@
 // recordMiss records a poll without an answer that was sent after an incarnation had been
 // heard, unless another one has been heard since, which it returns as false. It resets
 // acked: what the worker reports after that is acknowledged anew. It returns the latest
-// lease deadline sent, be it with a poll that is still in flight. The number is that of the
-// silence.
-func (s *workerState) recordMiss(incarnation, silence int64) (int64, bool) {
+// lease deadline sent, be it with a poll that is still in flight, and the number of the
+// silence. Polls of a worker that is no longer watched are not recorded.
+func (s *workerState) recordMiss(incarnation int64) (deadline, silence int64, missed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if incarnation != s.incarnation {
-		return 0, false
+	if incarnation != s.incarnation || s.closed {
+		return 0, 0, false
 	}
 	s.acked, s.unanswered, s.fullReportAt = 0, true, time.Time{}
-	s.silences = silence
+	s.silence++
 	s.closeIdle()
-	return s.leaseDeadline, true
+	return s.leaseDeadline, s.silence, true
 }
 
 // recordReport records a report that came on a line. It reports whether its running tasks
 // are to be passed on: if the last ones are old or were asked for. The number is that of
-// the silences if the leader has to have the leases renewed.
+// the last silence if the leader has to have the leases renewed.
 func (s *workerState) recordReport(r leader.Report, l *line, a attempt, asked bool) (bool, int64) {
 	now := time.Now()
 	s.mu.Lock()
@@ -155,8 +155,8 @@
 	if r.Clock >= s.clock {
 		s.clock, s.clockReadAt = r.Clock, now
 	}
-	if s.renewedIn == s.silences {
+	if s.renewedIn == s.silence {
 		return full, 0
 	}
-	return full, s.silences
+	return full, s.silence
 }
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -101,6 +101,7 @@
 	workers   map[string]assignment
 	local     int // workers that the leader calls itself
 	sessions  int64
+	watches   int64                // numbers that callers of workers were given
 	rebalance bool                 // workers may be called by the leader for want of deputies
 	lostAt    map[string]time.Time // when entries were last lost as deputies
 }
@@ -176,8 +177,8 @@
 		}
 	}
 	d.group.Go(func() error {
-		for id := range moved {
-			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id, Caller: p.session})
+		for id, a := range moved {
+			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id, Watch: a.watch.Watch})
 		}
 		for _, o := range outcomes {
 			d.Sink.Submit(d.Epoch, o)
@@ -220,7 +221,7 @@
 		d.local--
 		d.Local.Unwatch(leader.StopPolling{Worker: id})
 		d.group.Go(func() error {
-			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id})
+			d.Sink.Submit(d.Epoch, leader.PollerLost{Worker: id, Watch: a.watch.Watch})
 			return nil
 		})
 		d.assignTo(p, id, d.moved(a.watch))
@@ -234,6 +235,13 @@
 	return watch
 }
 
+// numbered returns the watch with a number. The caller holds the lock.
+func (d *Delegator) numbered(watch leader.StartPolling) leader.StartPolling {
+	d.watches++
+	watch.Watch = d.watches
+	return watch
+}
+
 // assign assigns a worker to the leader or to a deputy and starts its polling. The
 // caller holds the lock.
 func (d *Delegator) assign(id string, watch leader.StartPolling) {
@@ -246,6 +254,7 @@
 		d.rebalance = true
 	}
 	d.local++
+	watch = d.numbered(watch)
 	d.workers[id] = assignment{watch: watch}
 	d.Local.Watch(watch)
 }
@@ -255,6 +264,7 @@
 		p.reported = time.Now() // an idle deputy has no reason to report
 	}
 	p.workers++
+	watch = d.numbered(watch)
 	d.workers[id] = assignment{watch: watch, deputy: p}
 	p.put(Command{Watch: &watch})
 }
@@ -352,6 +362,7 @@
 		d.assign(e.Worker, e)
 		return
 	}
+	e.Watch = a.watch.Watch
 	a.watch = e
 	d.workers[e.Worker] = a
 	if a.deputy != nil {
@@ -394,19 +405,14 @@
 	d.Local.Poll(e)
 }
 
-// Renew has the leases of a worker renewed with the next polls, if its caller is still the one
-// that has heard it.
+// Renew has the leases of a worker renewed with the next polls.
 func (d *Delegator) Renew(e leader.Renew) {
 	if p := d.lockDeputy(e.Worker); p != nil {
 		defer d.mu.Unlock()
-		if e.Caller == p.session {
-			p.put(Command{Renew: &e})
-		}
+		p.put(Command{Renew: &e})
 		return
 	}
-	if e.Caller == 0 {
-		d.Local.Renew(e)
-	}
+	d.Local.Renew(e)
 }
 
 // Acknowledge lets a worker forget ended runs with the next poll.
@@ -469,7 +475,7 @@
 	d.mu.Unlock()
 	events := make([]leader.Event, 0, len(e.List))
 	for _, event := range e.List {
-		if known := event.since(began, e.Session); known != nil {
+		if known := event.since(began); known != nil {
 			events = append(events, known)
 		}
 	}
@@ -484,10 +490,10 @@
 // answer, whose time is that of the event, as arrived too late: what a report lacks
 // must not count as over if it was started by way of another entry while the worker
 // was polled.
-func (e Event) since(began time.Time, session int64) leader.Event {
+func (e Event) since(began time.Time) leader.Event {
 	switch {
 	case e.Report != nil:
-		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Caller: session, Silences: e.Report.Silences}
+		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Silence: e.Report.Silence}
 	case e.Failed != nil:
 		return *e.Failed
 	case e.Answer != nil:
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -99,8 +99,8 @@
 	if b, ok := e.(leader.Batch); ok {
 		s.events = append(s.events, b.Events...)
 		for _, event := range b.Events {
-			if r, ok := event.(leader.Reported); ok && r.Silences != 0 {
-				s.renew(leader.Renew{Worker: r.Worker, Caller: r.Caller, Silences: r.Silences})
+			if r, ok := event.(leader.Reported); ok && r.Silence != 0 {
+				s.renew(leader.Renew{Worker: r.Worker, Silence: r.Silence})
 			}
 		}
 		return
@@ -422,7 +422,7 @@
 func callerLost(worker string) func(e leader.Event) bool {
 	return func(e leader.Event) bool {
 		lost, ok := e.(leader.PollerLost)
-		return ok && lost.Worker == worker && lost.Caller > 0
+		return ok && lost.Worker == worker && lost.Watch > 0
 	}
 }
 
@@ -435,7 +435,7 @@
 	c.sink.await(t, "report", func(e leader.Event) bool {
 		r, ok := e.(leader.Reported)
 		first = r
-		return ok && r.Caller > 0
+		return ok && r.Silence > 0
 	})
 	lost, next := "a", "b"
 	if c.workers["b"].lastFence() > 0 {
@@ -444,9 +444,7 @@
 	c.sink.ignoreReports()
 	c.setCut(lost)
 	c.sink.await(t, "loss of the caller", callerLost("w"))
-	for silences := range int64(50) {
-		c.delegator.Renew(leader.Renew{Worker: "w", Caller: first.Caller, Silences: silences})
-	}
+	c.delegator.Renew(leader.Renew{Worker: "w", Silence: first.Silence})
 	time.Sleep(500 * time.Millisecond)
 	assert.Assert(t, c.workers[next].lastFence() > 0)
 	assert.Equal(t, c.workers[next].lastDeadline(), int64(0))
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -165,7 +165,7 @@
 	switch f := event.(type) {
 	case leader.Reported:
 		e.Sent = f.Sent.Sub(s.began)
-		e.Report = &Report{Worker: f.Worker, Report: f.Report, Deadline: f.Deadline, Silences: f.Silences}
+		e.Report = &Report{Worker: f.Worker, Report: f.Report, Deadline: f.Deadline, Silence: f.Silence}
 	case leader.PollFailed:
 		e.Failed = &f
 	case leader.OrderAnswered:
--- a/internal/commands/delegator/messages.go
+++ b/internal/commands/delegator/messages.go
@@ -38,7 +38,7 @@
 	Worker   string
 	Report   leader.Report
 	Deadline int64 // as in leader.Reported
-	Silences int64 // as in leader.Reported
+	Silence  int64 // as in leader.Reported
 }
 
 // Events is a batch of events from a deputy.
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -23,6 +23,7 @@
 	queried        [][]string                     // workers queried in each advice call
 	running        map[string]string              // worker by task
 	renewed        map[string]bool                // workers whose leases each poll renews
+	silences       map[string]int64               // failed polls by worker
 	ended          map[string]int64               // number of ends by worker
 	orders         []leader.Order
 	records        map[ledger.ID]ledger.Progress
@@ -46,7 +47,7 @@
 
 // newPacedHarness returns a harness with a pause between placement passes.
 func newPacedHarness(t *testing.T, workers int, room ledger.Resources, pause time.Duration) *harness {
-	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, renewed: map[string]bool{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
+	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, renewed: map[string]bool{}, silences: map[string]int64{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
 	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: pause}, h.now)
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
@@ -71,14 +72,17 @@
 func (h *harness) applyReport(id string, r leader.Report, deadline int64) {
 	e := leader.Reported{Worker: id, Report: r, Sent: h.now, Deadline: deadline}
 	if !h.renewed[id] {
-		e.Silences = 1
+		e.Silence = leader.FirstSilence(0) + h.silences[id]
 	}
 	h.apply(e)
 }
 
 func (h *harness) apply(e leader.Event) {
-	if failed, ok := e.(leader.PollFailed); ok {
+	if failed, ok := e.(leader.PollFailed); ok && failed.Silence == 0 {
 		delete(h.renewed, failed.Worker)
+		h.silences[failed.Worker]++
+		failed.Silence = leader.FirstSilence(0) + h.silences[failed.Worker]
+		e = failed
 	}
 	next, effects := h.state.Apply(e, h.now)
 	h.state = next
@@ -207,7 +211,7 @@
 	first, second := h.running["j.0.0.0"], h.running["j.0.0.1"]
 	assert.Assert(t, first != second)
 	for _, id := range []string{first, second} {
-		h.apply(leader.PollFailed{Worker: id, Incarnation: 1})
+		h.apply(leader.PollFailed{Worker: id})
 	}
 	h.advance(8 * time.Second)
 	again := h.running["j.0.0.0"]
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -64,7 +64,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%04d", i)
 		r.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: ledger.Resources{CPU: 64_000, Memory: 256_000}}})
-		r.apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1}, Sent: r.now, Silences: 1})
+		r.apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1}, Sent: r.now, Silence: 1})
 	}
 }
 
@@ -132,7 +132,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%04d", i)
 		apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: ledger.Resources{CPU: 64_000, Memory: 256_000}}})
-		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1}, Sent: now, Silences: 1})
+		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1}, Sent: now, Silence: 1})
 	}
 	lasting := ledger.Step{Count: workers, Request: ledger.Resources{CPU: 12_000, Memory: 40_000}, LongRunning: true}
 	apply(leader.Accepted{Job: ledger.Job{ID: "lasting", Accepted: now, Queue: ledger.Queue{Service: "s", Priority: 1}, Steps: []ledger.Step{lasting}}})
--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -142,7 +142,7 @@
 		name := fmt.Sprintf("w%04d", i)
 		c.names = append(c.names, name)
 		c.apply(leader.Listed{Listing: leader.Listing{ID: name, Address: name, Service: "s", Capacity: workerSize, Rack: fmt.Sprintf("r%d", i/20)}})
-		c.apply(leader.Reported{Worker: name, Report: leader.Report{Incarnation: 1}, Sent: c.now, Silences: 1})
+		c.apply(leader.Reported{Worker: name, Report: leader.Report{Incarnation: 1}, Sent: c.now, Silence: 1})
 		c.at(time.Duration(i)*time.Second/time.Duration(load.workers), func() { c.reportFully(name) })
 	}
 	var callers []string
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -50,12 +50,14 @@
 }
 
 // StartPolling starts the periodic polling of a worker, or continues it at a new address. No call
-// of an earlier caller has a higher fence than Floor; the leader itself leaves it 0.
+// of an earlier caller has a higher fence than Floor, and each caller has a higher Watch than
+// earlier ones; the leader itself leaves both 0.
 type StartPolling struct {
 	Worker  string
 	Address string
 	Zone    string
 	Floor   int64
+	Watch   int64
 }
 
 // StopPolling stops the polling of a worker.
@@ -64,13 +66,12 @@
 // PollNow polls a worker immediately.
 type PollNow struct{ Worker string }
 
-// Renew has the caller of a worker renew the leases there, until a poll fails. Caller and
-// Silences are those of the report that the worker was heard with: another caller, or a later
-// silence, cancels it.
+// Renew has the caller of a worker renew the leases there, until a poll fails. Silence is that
+// of the report that the worker was heard with. It means nothing to another caller, or after
+// a later silence.
 type Renew struct {
-	Worker   string
-	Caller   int64
-	Silences int64
+	Worker  string
+	Silence int64
 }
 
 // Acknowledge lets a worker forget its ends up to a number. It applies to one
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -72,15 +72,26 @@
 	Report   Report
 	Sent     time.Time // when the worker was polled, by the clock of OrderAnswered.At
 	Deadline int64     // end of the lease sent with the poll, on the worker's clock, in milliseconds
-	Caller   int64     // who polled: 0 for the leader itself, otherwise the session of a deputy
-	Silences int64     // set while the caller renews no leases before a Renew with this number
+	Silence  int64     // set while the caller renews no leases before a Renew with this number
 }
 
+// silenceBits is the width of the part of a silence's number that counts the silences of one
+// caller. The part above it is the number of its watch.
+const silenceBits = 24
+
+// FirstSilence returns the number with which a caller begins. Each poll of its that gets no
+// answer has the next one, so that numbers rise over all callers of a worker.
+func FirstSilence(watch int64) int64 { return watch<<silenceBits | 1 }
+
+// watchOf returns the number of the watch of whoever has numbered a silence.
+func watchOf(silence int64) int64 { return silence >> silenceBits }
+
 // PollFailed reports that a worker was polled and no report arrived.
 type PollFailed struct {
 	Worker      string
 	Incarnation int64 // the incarnation that was heard last before the poll, 0 if none was
 	Deadline    int64 // as in Reported, on the clock of that incarnation: the lease may have arrived
+	Silence     int64 // its number
 }
 
 // PollerLost reports that nothing is known any more of the polls that were sent to a
@@ -88,7 +99,7 @@
 // as a deposed leader.
 type PollerLost struct {
 	Worker string
-	Caller int64 // as in Reported
+	Watch  int64 // of whoever sent the polls
 }
 
 // Committed reports that all batches of records up to Batch are in the log.
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -21,7 +21,7 @@
 	h := newHarness(t, 3, ledger.Resources{CPU: 1000, Memory: 8000})
 	h.commitsDelayed = true
 	h.submit("j", ledger.Queue{}, gangStep(3))
-	h.apply(leader.PollFailed{Worker: "w02", Incarnation: 1})
+	h.apply(leader.PollFailed{Worker: "w02"})
 	h.commitsDelayed = false
 	for _, batch := range h.delayedBatches {
 		h.apply(leader.Committed{Batch: batch})
--- a/internal/leader/headroom_test.go
+++ b/internal/leader/headroom_test.go
@@ -32,7 +32,7 @@
 	} {
 		l.ID, l.Address, l.Incarnation = id, id, 1
 		apply(leader.Listed{Listing: l})
-		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: now, Deadline: 1000, Silences: 1})
+		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: now, Deadline: 1000, Silence: 1})
 	}
 	accept := func(id, service string, priority, tasks int, cpu int64) {
 		step := ledger.Step{Count: tasks, Request: ledger.Resources{CPU: cpu}, Estimate: time.Second}
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -9,10 +9,13 @@
 // slower than ours, a bound that the platform guarantees.
 const maxClockDrift = 0.02
 
-// pausePerName is multiplied by the number of workers that a record of leases names for the
-// time until the next one. Each record names them all; the pause bounds what is written
-// while many workers fall silent or are heard one after the other.
-const pausePerName = 100 * time.Microsecond
+// pausePerWorker is multiplied by the number of workers beyond fewWorkers for the time
+// between two records of leases. A record may name all workers; the pause bounds the work
+// while many fall silent or are heard one after the other.
+const (
+	pausePerWorker = 100 * time.Microsecond
+	fewWorkers     = 64
+)
 
 // A record of leases names workers up to maxNamedBytes, with nameBytes for each beside its
 // name: the platform's limit on a record is twice that.
@@ -26,8 +29,9 @@
 // those of a worker that they name, so that whoever leads next knows which leases were not
 // renewed since, in whatever way this leader ends.
 type Leases struct {
-	Others time.Time            // at workers that Until does not name; zero if the leader renews these
-	Until  map[string]time.Time // at the workers that it names; must not be changed
+	Others  time.Time            // at workers that Until does not name; zero if the leader renews these
+	Until   map[string]time.Time // at the workers that it names; must not be changed
+	Partial bool                 // there are others that the leader doesn't renew, which don't fit into a record
 }
 
 // LeaseEnd returns the time by which a lease has expired that was renewed at a time,
@@ -61,6 +65,7 @@
 			continue
 		}
 		if size += len(id) + nameBytes; size > maxNamedBytes {
+			l.Partial = true
 			break
 		}
 		l.Until[id] = w.leaseBound(s).until
@@ -78,7 +83,7 @@
 // because its leases have expired, allowing for clock drift.
 func (w Worker) leaseBound(s State) leaseBound {
 	bound := leaseBound{s.inherited.Others, "the last record of an earlier leader"}
-	if until, named := s.inherited.Until[w.ID]; named && until.Before(bound.until) {
+	if until, named := s.inherited.Until[w.ID]; named {
 		bound = leaseBound{until, "what an earlier leader recorded"}
 	}
 	if !w.ReportedAt.IsZero() {
@@ -115,15 +120,26 @@
 
 // awaitsRenewal reports whether the worker answers and its leases are not renewed.
 func (w Worker) awaitsRenewal() bool {
-	return !w.Renewed && w.Reachability == Reachable && w.Silences != 0
+	return !w.Renewed && w.Reachability == Reachable && w.Silence != 0
 }
 
-// hear has the leases of a worker renewed whose caller renews none before a Renew.
-func (t *transition) hear(w Worker, e Reported) {
-	if w.Caller != e.Caller {
+// withSilence returns the worker after its caller has reported a silence that is not older
+// than the last one.
+func (t *transition) withSilence(w Worker, number int64) Worker {
+	if watchOf(w.Silence) != watchOf(number) {
 		w = t.lostCaller(w) // its PollerLost may come later
 	}
-	w.Caller, w.Silences, w.Granted = e.Caller, e.Silences, false
+	w.Silence, w.Granted = number, false
+	return w
+}
+
+// hear has the leases of a worker renewed whose caller renews none before a Renew. A report
+// that an earlier caller sent, or that came before a silence, has no effect on them.
+func (t *transition) hear(w Worker, silence int64) {
+	if silence < w.Silence {
+		return
+	}
+	w = t.withSilence(w, silence)
 	t.setWorker(w)
 	switch {
 	case !w.Renewed:
@@ -139,12 +155,12 @@
 func (t *transition) renew(w Worker) {
 	w.Granted = true
 	t.setWorker(w)
-	t.emit(Renew{Worker: w.ID, Caller: w.Caller, Silences: w.Silences})
+	t.emit(Renew{Worker: w.ID, Silence: w.Silence})
 }
 
 // withhold records that the leases of a silent worker with runs are no longer renewed.
-func (t *transition) withhold(w Worker) Worker {
-	w.Granted = false
+func (t *transition) withhold(w Worker, silence int64) Worker {
+	w = t.withSilence(w, silence)
 	if w.Placements.Len() > 0 {
 		t.leasesDue = t.leasesDue || w.Renewed
 		w.Renewed = false
@@ -168,9 +184,8 @@
 	}
 	t.fleet.save()
 	t.leasesDue, t.leasesChanged, t.renews = false, true, true
-	l := t.Leases()
-	t.nextLeases = t.now.Add(time.Duration(len(l.Until)) * pausePerName)
-	t.emit(RecordLeases{Batch: t.nextBatch(), Leases: l})
+	t.nextLeases = t.now.Add(time.Duration(max(0, t.workers.Len()-fewWorkers)) * pausePerWorker)
+	t.emit(RecordLeases{Batch: t.nextBatch(), Leases: t.Leases()})
 }
 
 // awaitRenewal has the leases of a worker renewed once the current batch is in the log.
--- a/internal/leader/load_bench_test.go
+++ b/internal/leader/load_bench_test.go
@@ -124,7 +124,7 @@
 	for i := range workers {
 		names[i] = fmt.Sprintf("w%04d", i)
 		r.apply(leader.Listed{Listing: leader.Listing{ID: names[i], Address: names[i], Service: "s", Capacity: ledger.Resources{CPU: 64_000, Memory: 256_000}}})
-		r.apply(leader.Reported{Worker: names[i], Report: leader.Report{Incarnation: 1}, Sent: r.now, Silences: 1})
+		r.apply(leader.Reported{Worker: names[i], Report: leader.Report{Incarnation: 1}, Sent: r.now, Silence: 1})
 	}
 	var callers []string
 	for i := range 36 {
--- a/internal/leader/load_test.go
+++ b/internal/leader/load_test.go
@@ -76,7 +76,7 @@
 	apply := func(e leader.Event) { s, _ = s.Apply(e, now) }
 	for _, id := range []string{"w1", "w2"} {
 		apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: room, Incarnation: 1}})
-		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: now, Deadline: 1000, Silences: 1})
+		apply(leader.Reported{Worker: id, Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: now, Deadline: 1000, Silence: 1})
 	}
 	accept := func(id string, tasks int) {
 		step := ledger.Step{Count: tasks, Request: ledger.Resources{CPU: 1}, Estimate: time.Second}
--- a/internal/leader/place_test.go
+++ b/internal/leader/place_test.go
@@ -24,7 +24,7 @@
 		effects = append(effects, more...)
 	}
 	apply(leader.Listed{Listing: leader.Listing{ID: "w", Address: "w", Service: "s", Capacity: ledger.Resources{CPU: 64_000}}})
-	apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now, Silences: 1})
+	apply(leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now, Silence: 1})
 	submit := func(i int) {
 		apply(leader.Accepted{Job: ledger.Job{
 			ID: ledger.ID(fmt.Sprintf("j%d", i)), Accepted: now, Queue: ledger.Queue{Service: "s"},
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -75,10 +75,10 @@
 	h.report("w00")
 	lost := h.now
 	h.apply(leader.PollerLost{Worker: "w00"})
-	for h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute {
-		h.apply(leader.PollFailed{Worker: "w00"})
+	for watch := int64(1); h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute; watch++ {
+		h.apply(leader.PollFailed{Worker: "w00", Silence: leader.FirstSilence(watch) + 1})
 		h.advance(time.Second)
-		h.apply(leader.PollerLost{Worker: "w00"})
+		h.apply(leader.PollerLost{Worker: "w00", Watch: watch})
 	}
 	const staleRenewal = 5 * time.Second
 	assert.Assert(t, h.now.Sub(lost) >= staleRenewal+testLease, "given up after %v", h.now.Sub(lost))
@@ -88,12 +88,12 @@
 // Guards against leases that are given up too early: the loss of a caller may be told after
 // the next one has heard the worker, or has polled it in vain.
 func TestTheLossOfACallerMayBeToldLate(t *testing.T) {
-	for name, next := range map[string]func(h *harness){
-		"polled in vain": func(h *harness) { h.apply(leader.PollFailed{Worker: "w00"}) },
+	const next = 1
+	for name, polls := range map[string]func(h *harness){
+		"polled in vain": func(*harness) {},
 		"heard": func(h *harness) {
 			r := leader.Report{Incarnation: 1, Clock: h.now.UnixMilli(), Partial: true}
-			h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Caller: 2, Silences: 1})
-			h.apply(leader.PollFailed{Worker: "w00", Incarnation: 1})
+			h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Silence: leader.FirstSilence(next)})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +101,8 @@
 			h.report("w00")
 			h.advance(time.Second)
 			lost := h.now
-			next(h)
+			polls(h)
+			h.apply(leader.PollFailed{Worker: "w00", Silence: leader.FirstSilence(next) + 1})
 			h.apply(leader.PollerLost{Worker: "w00"})
 			for h.lostRuns() == 0 && h.now.Sub(lost) < time.Minute {
 				h.advance(100 * time.Millisecond)
@@ -111,6 +112,30 @@
 	}
 }
 
+// Guards against leases that are renewed although the log says that they are not: a poll that
+// failed before a report, or one of an earlier caller, may be told after it.
+func TestAFailedPollThatIsToldLateWithholdsNothing(t *testing.T) {
+	for name, failed := range map[string]int64{
+		"before the report":   leader.FirstSilence(1) + 1,
+		"an earlier caller's": leader.FirstSilence(0) + 7,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startedRun(t)
+			r := leader.Report{Incarnation: 1, Clock: h.now.UnixMilli(), Running: []leader.RunStatus{{Task: "j.0.0.0", Number: 1, Percent: h.percent}}}
+			h.apply(leader.Reported{Worker: "w00", Report: r, Sent: h.now, Silence: leader.FirstSilence(1) + 1})
+			h.apply(leader.PollFailed{Worker: "w00", Silence: failed})
+			for range 20 {
+				h.advance(time.Second)
+				h.report("w00")
+			}
+			assert.Equal(t, h.lostRuns(), 0)
+			assert.Equal(t, len(h.state.Leases().Until), 0, "%v", h.state.Leases())
+			h.submit("other", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}})
+			assert.Equal(t, h.countOrders(leader.OrderStart), 2, "the worker is given work")
+		})
+	}
+}
+
 // Guards against runs that are given up an hour late: a poll of an earlier incarnation that
 // failed after the later one had reported left a deadline on the clock of the earlier one.
 func TestAFailedPollOfAnEarlierIncarnationSaysNothing(t *testing.T) {
@@ -224,7 +249,7 @@
 func TestALeaderThatResignsHandsOnHowLongLeasesLast(t *testing.T) {
 	first := startedRun(t)
 	first.report("w00")
-	first.apply(leader.PollFailed{Worker: "w00", Incarnation: 1})
+	first.apply(leader.PollFailed{Worker: "w00"})
 	silent := first.now
 	first.advance(2 * time.Second)
 	leases := first.state.Leases()
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -63,19 +63,19 @@
 	if !ok || e.Incarnation != 0 && e.Incarnation < w.ReportedIncarnation {
 		return // a later incarnation has been heard since
 	}
-	before := w.Reachability
-	w = w.WithReachability(Unreachable)
 	w.LeaseDeadline = max(w.LeaseDeadline, e.Deadline)
-	if e.Incarnation == 0 {
-		w = t.lostCaller(w) // a caller that was told to renew leases has heard the worker
+	if e.Silence <= w.Silence {
+		t.setWorker(w)
+		return // the worker has been heard since, or has another caller
 	}
-	w = t.withhold(w)
+	before := w.Reachability
+	w = t.withhold(w.WithReachability(Unreachable), e.Silence)
 	t.logSilence(w, before)
 	t.expireLeases(w)
 }
 
 func (e PollerLost) apply(t *transition) {
-	if w, ok := t.fleet.get(e.Worker); ok && w.Caller == e.Caller {
+	if w, ok := t.fleet.get(e.Worker); ok && watchOf(w.Silence) == e.Watch {
 		t.setWorker(t.lostCaller(w))
 	}
 }
@@ -127,8 +127,8 @@
 	}
 	w = w.WithReport(e.Report, e.Deadline, longest, t.now)
 	t.setWorker(w)
-	if e.Silences != 0 {
-		t.hear(w, e)
+	if e.Silence != 0 {
+		t.hear(w, e.Silence)
 		w, _ = t.fleet.get(w.ID)
 	}
 	t.handleEnds(w, e.Report)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -111,6 +111,8 @@
 	acked          map[string]leader.Acknowledge
 	renewed        map[string]bool  // workers whose leases each poll renews
 	heard          map[string]int64 // incarnation that whoever polls a worker has heard last
+	watches        map[string]int64 // number of its watch
+	silences       map[string]int64 // number of its last silence
 	workers        map[string]*simWorker
 	endedDone      map[string]bool // tasks with a run that ended as done
 	doneForgotten  map[string]bool // tasks whose end as done was acknowledged and forgotten by the worker
@@ -133,7 +135,10 @@
 	}
 	delete(sm.renewed, id) // by whoever polls the worker next
 	delete(sm.heard, id)
-	sm.apply(leader.PollerLost{Worker: id})
+	lost := sm.watches[id]
+	sm.watches[id]++
+	sm.silences[id] = leader.FirstSilence(sm.watches[id])
+	sm.apply(leader.PollerLost{Worker: id, Watch: lost})
 	for _, s := range slices.Clone(sm.orders) {
 		if s.order.Worker == id {
 			sm.answer(s, leader.OutcomeUnknown)
@@ -207,7 +212,7 @@
 	sm.epoch++
 	sm.state = leader.New(sm.policy(), sm.now).WithInheritedLeases(leases)
 	sm.logged, sm.leases, sm.confirmed = leases, nil, sm.now
-	sm.renewed, sm.heard = map[string]bool{}, map[string]int64{}
+	sm.renewed, sm.heard, sm.watches, sm.silences = map[string]bool{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	sm.records, sm.adviceCalls, sm.acked, sm.wakePending, sm.held = nil, nil, map[string]leader.Acknowledge{}, false, nil
 	for _, id := range sm.jobIDs() {
 		e := leader.Accepted{Job: sm.jobs[id]}
@@ -401,7 +406,8 @@
 	}
 	if target.partitioned || !answered {
 		delete(sm.renewed, id)
-		sm.apply(leader.PollFailed{Worker: id, Incarnation: sm.heard[id], Deadline: deadline})
+		sm.silences[id] = max(sm.silences[id], leader.FirstSilence(0)) + 1
+		sm.apply(leader.PollFailed{Worker: id, Incarnation: sm.heard[id], Deadline: deadline, Silence: sm.silences[id]})
 		if target.partitioned {
 			return
 		}
@@ -428,7 +434,7 @@
 	}
 	reported := leader.Reported{Worker: id, Report: r, Sent: sm.now, Deadline: deadline}
 	if !sm.renewed[id] {
-		reported.Silences = 1
+		reported.Silence = max(sm.silences[id], leader.FirstSilence(0))
 	}
 	sm.apply(reported)
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -45,9 +45,8 @@
 	LeaseDeadline       int64     // latest end of a lease sent to it, on its clock, in milliseconds
 	Renewed             bool      // the leader's record of leases says that those here are renewed
 	RenewedIn           int64     // batch of that record
-	Caller              int64     // who sent the last report with Silences
-	Silences            int64     // as in that report
-	Granted             bool      // a Renew was sent to that caller, which no poll has failed for since
+	Silence             int64     // number of the last silence that its caller has reported
+	Granted             bool      // a Renew with that number was sent
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
--- a/internal/packer/commands.go
+++ b/internal/packer/commands.go
@@ -36,6 +36,7 @@
 		w.name(c.Watch.Address)
 		w.name(c.Watch.Zone)
 		w.number(c.Watch.Floor)
+		w.number(c.Watch.Watch)
 	case c.Unwatch != "":
 		w.count(unwatch)
 		w.name(c.Unwatch)
@@ -45,7 +46,7 @@
 	case c.Renew != nil:
 		w.count(renew)
 		w.name(c.Renew.Worker)
-		w.number(c.Renew.Silences)
+		w.number(c.Renew.Silence)
 	case c.Ack != nil:
 		w.count(acknowledge)
 		w.name(c.Ack.Worker)
@@ -81,7 +82,7 @@
 func (r *reader) command() delegator.Command {
 	switch r.unsigned() {
 	case watch:
-		return delegator.Command{Watch: &leader.StartPolling{Worker: r.name(), Address: r.name(), Zone: r.name(), Floor: r.number()}}
+		return delegator.Command{Watch: &leader.StartPolling{Worker: r.name(), Address: r.name(), Zone: r.name(), Floor: r.number(), Watch: r.number()}}
 	case unwatch:
 		return delegator.Command{Unwatch: r.worker()}
 	case poll:
@@ -89,7 +90,7 @@
 	case acknowledge:
 		return delegator.Command{Ack: &leader.Acknowledge{Worker: r.name(), Incarnation: r.number(), Number: r.number()}}
 	case renew:
-		return delegator.Command{Renew: &leader.Renew{Worker: r.name(), Silences: r.number()}}
+		return delegator.Command{Renew: &leader.Renew{Worker: r.name(), Silence: r.number()}}
 	case order:
 		return delegator.Command{Order: r.order()}
 	}
--- a/internal/packer/events.go
+++ b/internal/packer/events.go
@@ -31,13 +31,14 @@
 		w.number(int64(e.Sent))
 		w.name(e.Report.Worker)
 		w.number(e.Report.Deadline)
-		w.number(e.Report.Silences)
+		w.number(e.Report.Silence)
 		w.report(e.Report.Report)
 	case e.Failed != nil:
 		w.count(failed)
 		w.name(e.Failed.Worker)
 		w.number(e.Failed.Incarnation)
 		w.number(e.Failed.Deadline)
+		w.number(e.Failed.Silence)
 	case e.Answer != nil:
 		w.count(answer)
 		w.name(e.Answer.Worker)
@@ -84,9 +85,9 @@
 	switch r.unsigned() {
 	case report:
 		sent := time.Duration(r.number())
-		return delegator.Event{Sent: sent, Report: &delegator.Report{Worker: r.name(), Deadline: r.number(), Silences: r.number(), Report: r.report()}}
+		return delegator.Event{Sent: sent, Report: &delegator.Report{Worker: r.name(), Deadline: r.number(), Silence: r.number(), Report: r.report()}}
 	case failed:
-		return delegator.Event{Failed: &leader.PollFailed{Worker: r.name(), Incarnation: r.number(), Deadline: r.number()}}
+		return delegator.Event{Failed: &leader.PollFailed{Worker: r.name(), Incarnation: r.number(), Deadline: r.number(), Silence: r.number()}}
 	case answer:
 		return delegator.Event{Answer: &leader.OrderAnswered{
 			Worker: r.name(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(), Outcome: leader.Outcome(r.integer()),
