Bound leases by all records, and each leader by its own end

Cause: two errors in what a new leader takes from the log, both by up to seconds too early. An append that has nothing but a record of leases didn't count as one that confirmed its leader. And the end of the last leader shortened the bounds of leases that it did not renew, which one before it might still: cut off together with a worker, that one goes on for 5 s. Found by a review of the record of leases; no caller has seen either.

Change: a record of leases counts, also as a heartbeat. Bounds of workers that are named, and of all if too many are, hold whatever became of the last leader. Records of leases are queued with their batch in one call.

--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -79,9 +79,16 @@
 
 // Put queues records. Each replaces an unwritten record of the same job. Records of one batch
 // are put together, since a batch counts as written once none of its records is queued.
-func (r *Recorder) Put(records ...leader.Record) {
+func (r *Recorder) Put(records ...leader.Record) { r.PutWithLeases(nil, records...) }
+
+// PutWithLeases is like Put and also queues a record of leases, if there is one, in place of
+// one that is not written yet.
+func (r *Recorder) PutWithLeases(leases *leader.Leases, records ...leader.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if leases != nil {
+		r.leases = leases
+	}
 	if r.pending == nil {
 		r.pending = map[ledger.ID]pendingRecord{}
 	}
@@ -97,14 +104,6 @@
 	r.signal()
 }
 
-// PutLeases queues a record of leases in place of one that is not written yet. The batch that
-// it is part of is complete only with a record that is put after it.
-func (r *Recorder) PutLeases(record leader.RecordLeases) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leases = &record.Leases
-}
-
 // Expire queues the deletion of a job's state.
 func (r *Recorder) Expire(id ledger.ID) {
 	r.mu.Lock()
@@ -217,6 +216,7 @@
 		r.signal()
 	}
 	r.addExpired(&b)
+	r.addHeartbeat(&b)
 	return b
 }
 
@@ -229,14 +229,18 @@
 	return v
 }
 
-// addExpired adds the deletions of expired jobs, and a heartbeat if the last one is long
-// ago: other records don't show the clock of leases.
+// addExpired adds the deletions of expired jobs.
 func (r *Recorder) addExpired(b *batch) {
 	for _, id := range r.expired {
 		b.values = append(b.values, replicator.Value{Name: string(id)})
 		b.changes = append(b.changes, keeper.RunChange{ID: id})
 	}
 	r.expired = nil
+}
+
+// addHeartbeat adds a heartbeat if the batch is empty or the last one is long ago: other
+// records don't show the clock of leases.
+func (r *Recorder) addHeartbeat(b *batch) {
 	now := time.Now()
 	if len(b.values) > 0 && now.Sub(r.leadAt) < heartbeatPeriod {
 		return
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -18,18 +18,26 @@
 // have to wait, such as calls, are only started and run in goroutines of their own.
 func (e *Entry) Perform(effects []keeper.Effect) {
 	var records []leader.Record
-	var epoch int64
+	var leases *leader.Leases
+	var epoch int64 // one event starts one leadership at most
 	for _, effect := range effects {
-		if f, ok := effect.(keeper.LeaderEffect); ok {
-			if record, ok := f.Effect.(leader.Record); ok {
-				records, epoch = append(records, record), f.Epoch
-				continue
-			}
+		f, ok := effect.(keeper.LeaderEffect)
+		if !ok {
+			e.perform(effect)
+			continue
+		}
+		epoch = f.Epoch
+		switch record := f.Effect.(type) {
+		case leader.Record:
+			records = append(records, record)
+		case leader.RecordLeases:
+			leases = &record.Leases
+		default:
+			e.perform(effect)
 		}
-		e.perform(effect)
 	}
 	if c := e.activeAt(epoch); c != nil && len(records) > 0 {
-		c.recorder.Put(records...)
+		c.recorder.PutWithLeases(leases, records...)
 	}
 }
 
@@ -68,8 +76,6 @@
 // performForLeader performs an effect of package leader.
 func (e *Entry) performForLeader(c *leaderServices, effect leader.Effect) {
 	switch f := effect.(type) {
-	case leader.RecordLeases:
-		c.recorder.PutLeases(f)
 	case leader.Order:
 		c.delegator.Order(f)
 	case leader.StartPolling:
--- a/internal/encoder/jobs_test.go
+++ b/internal/encoder/jobs_test.go
@@ -58,7 +58,7 @@
 		keeper.JobsRead{Snapshot: true, Changes: changes, Next: 1}, keeper.RunsRead{Snapshot: true, Changes: runs, Next: 1},
 		keeper.LeadsRead{}, keeper.Ticked{}, keeper.Ticked{}, keeper.Claimed{Epoch: 5}, keeper.Ticked{},
 		keeper.LeaderEvent{Epoch: 5, Event: leader.Listed{Listing: leader.Listing{ID: "w", Capacity: ledger.Resources{CPU: 64_000, Memory: 64_000}}}},
-		keeper.LeaderEvent{Epoch: 5, Event: leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now, Silences: 1}},
+		keeper.LeaderEvent{Epoch: 5, Event: leader.Reported{Worker: "w", Report: leader.Report{Incarnation: 1}, Sent: now, Silence: 1}},
 		keeper.Ticked{},
 	} {
 		now = now.Add(2 * time.Second)
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -134,6 +134,7 @@
 func (t *transition) applyRunChange(c RunChange, old bool) {
 	t.leases = t.leases.withChange(c, t.now)
 	if c.Leases != nil {
+		t.recordHeartbeat(old)
 		return
 	}
 	if c.Claim {
--- a/internal/keeper/leases.go
+++ b/internal/keeper/leases.go
@@ -13,11 +13,13 @@
 	Epoch  int64            `json:"epoch"`
 	Others int64            `json:"others,omitempty"` // bound of leases at workers that are not named; 0 if they are renewed
 	Until  map[string]int64 `json:"until,omitempty"`  // bounds of leases at the workers named, which are not renewed
+	// Partial says that the leader doesn't renew the leases at others, either, which it has not named.
+	Partial bool `json:"partial,omitempty"`
 }
 
 // NewLeaseRecord returns the record of leases that the leader of an epoch doesn't renew.
 func NewLeaseRecord(epoch int64, c Clock, l leader.Leases) LeaseRecord {
-	r := LeaseRecord{Epoch: epoch}
+	r := LeaseRecord{Epoch: epoch, Partial: l.Partial}
 	if !l.Others.IsZero() {
 		r.Others = c.Deadline(l.Others)
 	}
@@ -58,6 +60,7 @@
 		l.claims = l.claims.with(c.Offset)
 	case c.Claim:
 	case c.Leases != nil:
+		l.written = now
 		if l.record == nil || c.Leases.Epoch >= l.record.Epoch {
 			l.record = c.Leases
 		}
@@ -73,38 +76,42 @@
 	return l
 }
 
-// inherited returns the bounds for the leader with a claim at an offset. Those of a leader
-// that is known to be inactive were renewed until now at the latest, by its deputies.
+// trusted reports whether the record says all about the leases that the leaders before a
+// claim may have renewed: it is that of the last leader, and nobody has claimed since who may
+// have renewed leases without one.
+func (l leases) trusted(claim int64) bool {
+	return l.clock.reading != 0 && l.record != nil && l.record.Epoch == l.epoch && l.claims.before(claim) <= l.offset
+}
+
+// inherited returns the bounds for the leader with a claim at an offset. If the last leader
+// is known to be inactive, its deputies may go on from now at the latest.
 func (l leases) inherited(p Policy, now time.Time, claim int64, inactive bool) leader.Leases {
-	if l.clock.reading == 0 || l.record == nil || l.record.Epoch != l.epoch || l.claims.before(claim) > l.offset {
-		// Somebody may have renewed leases without a record of it.
+	if !l.trusted(claim) {
 		return leader.Leases{Others: p.Leader.LeaseEnd(now.Add(p.Leader.MaxStaleRenewal))}
 	}
-	inherited := leader.Leases{Others: l.clock.Time(l.record.Others), Until: make(map[string]time.Time, len(l.record.Until))}
-	if l.record.Others == 0 {
-		inherited.Others = p.Leader.LeaseEnd(l.renewedUntil(p, now, inactive))
+	// The log has confirmed a leader with its last record at the latest.
+	latest := p.Leader.LeaseEnd(l.written.Add(p.Leader.MaxStaleRenewal))
+	inherited := leader.Leases{Others: latest, Until: make(map[string]time.Time, len(l.record.Until)), Partial: l.record.Partial}
+	switch {
+	case l.record.Others != 0:
+		inherited.Others = earlier(latest, l.clock.Time(l.record.Others))
+	case l.record.Partial: // some may be renewed by a leader before the last one
+	case l.resigned:
+		inherited.Others = earlier(latest, p.Leader.LeaseEnd(l.written.Add(p.MaxGrant)))
+	case inactive:
+		inherited.Others = earlier(latest, p.Leader.LeaseEnd(now.Add(p.MaxGrant)))
 	}
 	for id, until := range l.record.Until {
-		inherited.Until[id] = l.clock.Time(until)
+		inherited.Until[id] = earlier(latest, l.clock.Time(until))
 	}
 	return inherited
 }
 
-// renewedUntil returns until when the last leader or its deputies may renew leases. The
-// log has confirmed it with its last record at the latest.
-func (l leases) renewedUntil(p Policy, now time.Time, inactive bool) time.Time {
-	until := l.written.Add(p.Leader.MaxStaleRenewal)
-	deputies := now.Add(p.MaxGrant)
-	switch {
-	case l.resigned:
-		deputies = l.written.Add(p.MaxGrant)
-	case !inactive:
-		return until
-	}
-	if deputies.Before(until) {
-		return deputies
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return until
+	return b
 }
 
 // claims are the last two claims that were read. The zero value has none.
--- a/internal/keeper/leases_test.go
+++ b/internal/keeper/leases_test.go
@@ -69,6 +69,46 @@
 	}
 }
 
+// Guards against leases that are given up too early: an append that has nothing but a record
+// of leases confirms its leader as any other does.
+func TestARecordOfLeasesCountsAsOneOfItsLeader(t *testing.T) {
+	e := withRun(lead(5, "other"))
+	e.runs(keeper.RunChange{Leases: &keeper.LeaseRecord{Epoch: 5}}, record(5, 1000, "other"))
+	e.now = e.now.Add(190 * time.Millisecond)
+	e.runs(keeper.RunChange{Leases: &keeper.LeaseRecord{Epoch: 5}})
+	policy := leader.Policy{Lease: 6 * time.Second}
+	renewed := policy.LeaseEnd(e.now.Add(5 * time.Second))
+	l := e.takeOver(t, keeper.RunChange{Claim: true, Awaits: true})
+	assert.Assert(t, !l.Others.Before(renewed), "%v too early", renewed.Sub(l.Others))
+}
+
+// Guards against leases that are given up too early: that the last leader has resigned says
+// nothing of one before it, which may still renew leases that the last one did not.
+func TestAResignationBoundsOnlyLeasesOfItsLeader(t *testing.T) {
+	const reading, sooner = 1000, 200 * time.Millisecond
+	policy := leader.Policy{Lease: 6 * time.Second}
+	for name, partial := range map[string]bool{"named": false, "not named for want of space": true} {
+		t.Run(name, func(t *testing.T) {
+			e := withRun(lead(5, "first"))
+			e.runs(keeper.RunChange{Leases: &keeper.LeaseRecord{Epoch: 5}}, record(5, reading, "first"))
+			until := policy.LeaseEnd(e.now.Add(5 * time.Second))
+			second := keeper.LeaseRecord{Until: map[string]int64{"w": reading + until.Sub(e.now).Milliseconds()}}
+			if partial {
+				second = keeper.LeaseRecord{Partial: true}
+			}
+			e.now = e.now.Add(time.Second)
+			e.runs(keeper.RunChange{Claim: true, Awaits: true})
+			second.Epoch = e.next
+			e.runs(keeper.RunChange{Leases: &second}, record(second.Epoch, reading+1000, "second"))
+			e.now = e.now.Add(sooner)
+			e.runs(keeper.RunChange{Leases: &second}, record(second.Epoch, reading+1200, ""))
+			e.takeOver(t, keeper.RunChange{Claim: true, Awaits: true})
+			lost := lostAt(e, time.Minute)
+			assert.Assert(t, lost > 0 && !e.now.Before(until.Add(-time.Millisecond)), "given up %v early", until.Sub(e.now))
+		})
+	}
+}
+
 // lostAt advances time by steps and returns after how long the run at the silent worker is
 // given up, or 0.
 func lostAt(e *entry, limit time.Duration) time.Duration {
