Name workers whose runs were given up until the log shows it

Cause: a record of leases named only workers with runs. A leader that gave up the runs at a lost worker and resigned before the log had that wrote a record without the worker. The next one took its leases for renewed until the resignation, and gave the same runs up 8 s later; a series of hand-overs can repeat that. Found by the simulation of leaders in series (a worker lost in the first takeover, hand-overs 4.5 s apart: given up 17.4 s after the loss, 4.7 s after the bound).

Change: records name all workers whose leases aren't renewed, with or without runs, and a worker that is not listed stays known until the log shows that its runs are over.

TestALeaderThatResignsNamesWorkersWhoseRunsItHasJustGivenUp passes, and fails in both cases, or in that of an unlisted worker, with either part switched off.

--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -52,8 +52,8 @@
 }
 
 // Leases returns what holds for whoever leads next, unless this leader goes on: the leases
-// at workers with runs that it doesn't renew, and those that it has inherited until it
-// renews any. If there are too many workers to name, the next leader takes the leases at the
+// at workers that it doesn't renew, and those that it has inherited until it renews any.
+// Workers without runs are named, too, as the log may still show runs that were given up. If there are too many workers to name, the next leader takes the leases at the
 // others for renewed and waits longer.
 func (s State) Leases() Leases {
 	if !s.renews {
@@ -61,7 +61,7 @@
 	}
 	l, size := Leases{Until: map[string]time.Time{}}, 0
 	for id, w := range s.workers.All() {
-		if w.Renewed || w.Placements.Len() == 0 {
+		if w.Renewed {
 			continue
 		}
 		if size += len(id) + nameBytes; size > maxNamedBytes {
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -269,6 +269,26 @@
 	assert.Assert(t, next.now.Sub(silent) >= testLease && next.now.Sub(silent) < testLease+time.Second, "given up after %v", next.now.Sub(silent))
 }
 
+// Guards against runs that are given up late by the next leader: this one may resign before
+// the log shows that it has given them up itself.
+func TestALeaderThatResignsNamesWorkersWhoseRunsItHasJustGivenUp(t *testing.T) {
+	for name, unlisted := range map[string]bool{"listed": false, "not listed": true} {
+		t.Run(name, func(t *testing.T) {
+			h := startedRun(t)
+			h.report("w00")
+			h.apply(leader.PollFailed{Worker: "w00"})
+			if unlisted {
+				h.apply(leader.Unlisted{ID: "w00"})
+			}
+			h.commitsDelayed = true
+			h.advance(testLease + time.Second)
+			assert.Equal(t, h.lostRuns(), 1)
+			until, named := h.state.Leases().Until["w00"]
+			assert.Assert(t, named && until.Before(h.now), "named: %v, until %v", named, until.Sub(h.now))
+		})
+	}
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -48,9 +48,9 @@
 }
 
 // removeIfUnused removes a worker that is no longer listed, once it has no
-// placements and no unacknowledged ends.
+// placements and no unacknowledged ends, and the log has none either.
 func (t *transition) removeIfUnused(w Worker) {
-	if w.Listed || w.Placements.Len() > 0 || len(w.UnackedEnds) > 0 {
+	if w.Listed || w.Placements.Len() > 0 || len(w.UnackedEnds) > 0 || w.ExpiredIn > t.committed {
 		return
 	}
 	t.fleet.remove(w.ID)
@@ -92,6 +92,11 @@
 			continue
 		}
 		w = t.loseRun(w, p, "leases of an unreachable worker have expired, bounded by "+bound.by)
+		w.ExpiredIn = t.nextBatch()
+	}
+	if w.ExpiredIn == t.nextBatch() {
+		t.setWorker(w)
+		t.awaitCommit(w.ExpiredIn, w.ID, "")
 	}
 	t.removeIfUnused(w)
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -47,6 +47,7 @@
 	RenewedIn           int64     // batch of that record
 	Silence             int64     // number of the last silence that its caller has reported
 	Granted             bool      // a Renew with that number was sent
+	ExpiredIn           int64     // batch of the records of the runs that were given up when its leases had expired
 	LeasesUntil         time.Time // leases of which no deadline is known may be in force until then
 	Placements          container.Table[Placement]
 	Used                ledger.Resources
