Drop a claim that another entry's claim follows

What callers would see: a leader whose calls a worker refuses for as long as it leads. Its runs there are given up, and nothing starts there. No caller has reported it; it is as old as the fences that rise with records.

Cause: an entry that was slow between its claim and reading the rest of the log led for a moment although a later one had claimed, fenced it off and written records. It began its fences past the end of the stream as it had read it, so past records of the later leader. Workers that it polled before the log refused it then refused the later one, whose fence for a worker that it has heard doesn't change.

Change: a claim fails if the entry has read a later claim or a later leader by the time it would lead. Before any later claim, the end of the stream is below the fences of all later leaders.

--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -327,6 +327,11 @@
 		t.emit(Resign{Epoch: e.Epoch, Graceful: true})
 		return
 	}
+	if t.claimOffset >= e.Epoch || t.leases.epoch > e.Epoch {
+		// What was read since then belongs to a later leader, and so do fences above it.
+		ClaimFailed{Why: "another entry has claimed since"}.apply(t)
+		return
+	}
 	inherited := t.leases.inherited(t.policy, t.now, e.Epoch-1, t.leaderInactive() && t.State.lead.Epoch == t.leases.epoch)
 	clock := t.leases.clock.from(t.now)
 	t.role, t.leadingSince = Leading, t.now
--- a/internal/keeper/leases_test.go
+++ b/internal/keeper/leases_test.go
@@ -109,6 +109,30 @@
 	}
 }
 
+// Guards against workers that refuse the leader: an entry whose claim took longer than the
+// next one's led for a moment, with fences above those of the later leader, whose records it
+// had read.
+func TestAClaimThatAnotherOneFollowsFails(t *testing.T) {
+	claim := keeper.RunChange{Claim: true, Awaits: true}
+	for name, since := range map[string][]keeper.RunChange{
+		"a claim":  {claim},
+		"a leader": {claim, record(100, 1000, "other")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := withRun(lead(5, "other"))
+			assert.Assert(t, e.claims(5*time.Second) > 0)
+			e.runs(claim)
+			epoch := e.next
+			e.runs(since...)
+			for _, effect := range e.apply(keeper.Claimed{Epoch: epoch}) {
+				_, starts := effect.(keeper.StartLeading)
+				assert.Assert(t, !starts)
+			}
+			assert.Equal(t, e.state.Role(), keeper.Following)
+		})
+	}
+}
+
 // lostAt advances time by steps and returns after how long the run at the silent worker is
 // given up, or 0.
 func lostAt(e *entry, limit time.Duration) time.Duration {
