Renew leases for no longer than their length on a slow clock

Cause: a renewal's deadline is the last reading of the worker's clock, its age and the length of a lease. The age, up to 2 s, was taken for as much time on that clock, which may be 2 % slow: the lease lasted up to 40 ms longer than the bound at which a later leader gives runs up.

Change: the age counts for the least time that can have passed on the clock.

Result: TestLeasesAreNoLongerOnASlowClock failed before (7.025 s for a reading 1.025 s old, where 7.004 s are permitted) and passes."

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -200,6 +200,6 @@
 	if s.closed || s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silence || !c.permitted(now) {
 		return v
 	}
-	s.leaseDeadline = max(s.leaseDeadline, s.clock+now.Sub(s.clockReadAt).Milliseconds()+c.Lease.Milliseconds())
+	s.leaseDeadline = max(s.leaseDeadline, s.clock+leader.LeastProgress(now.Sub(s.clockReadAt)).Milliseconds()+c.Lease.Milliseconds())
 	return v.WithDeadline(s.leaseDeadline)
 }
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -44,6 +44,11 @@
 	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
+// LeastProgress returns the least time that passes on a worker's monotonic clock within d.
+func LeastProgress(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - maxClockDrift))
+}
+
 // WithInheritedLeases returns the state of a leader that takes over with what earlier ones
 // have recorded. Nothing is known of them without it.
 func (s State) WithInheritedLeases(l Leases) State {
