--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -289,6 +289,27 @@
 	}
 }
 
+// Guards against leases that are renewed while the log says that they are not: the record
+// that permits it has to be in the log, and no later one may have named the worker since.
+func TestLeasesAreRenewedOnceTheLogSaysSo(t *testing.T) {
+	h := startedRun(t)
+	h.apply(leader.PollFailed{Worker: "w00"})
+	h.commitsDelayed = true
+	h.report("w00")
+	first := h.delayedBatches[len(h.delayedBatches)-1]
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, !h.renewed["w00"], "no record is in the log yet")
+	h.apply(leader.PollFailed{Worker: "w00"})
+	h.advance(100 * time.Millisecond)
+	h.report("w00")
+	last := h.delayedBatches[len(h.delayedBatches)-1]
+	assert.Assert(t, last > first+1)
+	h.apply(leader.Committed{Batch: first})
+	assert.Assert(t, !h.renewed["w00"], "a record that names the worker may be in the log")
+	h.apply(leader.Committed{Batch: last})
+	assert.Assert(t, h.renewed["w00"])
+}
+
 // lostRuns returns the number of runs that were given up: their tasks wait again.
 func (h *harness) lostRuns() int {
 	n := 0
