Put the comments on records of leases in order

Cause: one line was not wrapped, and two comments said what a record does to others instead of what it is for.

Change: comments only.

Result: builds; no code changes.

--- a/internal/keeper/leases.go
+++ b/internal/keeper/leases.go
@@ -6,12 +6,11 @@
 	"github.com/endivelock/endivelock/internal/leader"
 )
 
-// LeaseRecord says which leases a leader does not renew, by readings of the clock of leases.
-// A leader renews no others than it permits. It has no effect on the record of a later
-// leader, so that one that is replaced soon leaves the bounds as they were.
+// LeaseRecord says which leases a leader does not renew, and until when they may be in
+// force, by readings of the clock of leases. It stands for leader.Leases in the log.
 type LeaseRecord struct {
 	Epoch  int64            `json:"epoch"`
-	Others int64            `json:"others,omitempty"` // bound of leases at workers that are not named; 0 if they are renewed
+	Others int64            `json:"others,omitempty"` // bound of leases at workers that are not named; 0 if the leader renews them
 	Until  map[string]int64 `json:"until,omitempty"`  // bounds of leases at the workers named, which are not renewed
 	// Partial says that the leader doesn't renew the leases at others, either, which it has not named.
 	Partial bool `json:"partial,omitempty"`
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -25,9 +25,9 @@
 )
 
 // Leases says until when leases may be in force that no leader renews any more. A leader
-// has its own written to the log before it renews any lease, and again before it renews
-// those of a worker that they name, so that whoever leads next knows which leases were not
-// renewed since, in whatever way this leader ends.
+// renews no lease before its record of them is in the log, and none of a worker that the
+// record names before a later one is in the log that doesn't. So whoever leads next knows
+// which leases were not renewed since, in whatever way this leader ends.
 type Leases struct {
 	Others  time.Time            // at workers that Until does not name; zero if the leader renews these
 	Until   map[string]time.Time // at the workers that it names; must not be changed
@@ -58,8 +58,9 @@
 
 // Leases returns what holds for whoever leads next, unless this leader goes on: the leases
 // at workers that it doesn't renew, and those that it has inherited until it renews any.
-// Workers without runs are named, too, as the log may still show runs that were given up. If there are too many workers to name, the next leader takes the leases at the
-// others for renewed and waits longer.
+// Workers without runs are named, too, as the log may still show runs that were given up.
+// If there are too many to name, the next leader takes the leases at the others for renewed
+// and waits longer.
 func (s State) Leases() Leases {
 	if !s.renews {
 		return s.inherited
