--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -484,22 +484,3 @@
 	}
 	return Confirmation{Confirmed: d.MayGrant(), Fence: d.fence()}, nil
 }
-
-// since returns the leader's event for that of a deputy whose session began at a time
-// or later, or nil if it reports nothing. A poll thus counts as sent too early and an
-// answer, whose time is that of the event, as arrived too late: what a report lacks
-// must not count as over if it was started by way of another entry while the worker
-// was polled.
-func (e Event) since(began time.Time) leader.Event {
-	switch {
-	case e.Report != nil:
-		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Silence: e.Report.Silence}
-	case e.Failed != nil:
-		return *e.Failed
-	case e.Answer != nil:
-		answer := *e.Answer
-		answer.At = time.Time{}
-		return answer
-	}
-	return nil
-}
--- a/internal/commands/delegator/messages.go
+++ b/internal/commands/delegator/messages.go
@@ -33,6 +33,25 @@
 	Answer *leader.OrderAnswered
 }
 
+// since returns the leader's event for that of a deputy whose session began at a time
+// or later, or nil if it reports nothing. A poll thus counts as sent too early and an
+// answer, whose time is that of the event, as arrived too late: what a report lacks
+// must not count as over if it was started by way of another entry while the worker
+// was polled.
+func (e Event) since(began time.Time) leader.Event {
+	switch {
+	case e.Report != nil:
+		return leader.Reported{Worker: e.Report.Worker, Report: e.Report.Report, Sent: began.Add(e.Sent), Deadline: e.Report.Deadline, Silence: e.Report.Silence}
+	case e.Failed != nil:
+		return *e.Failed
+	case e.Answer != nil:
+		answer := *e.Answer
+		answer.At = time.Time{}
+		return answer
+	}
+	return nil
+}
+
 // Report is the report of a worker that answered a poll.
 type Report struct {
 	Worker   string
--- a/internal/keeper/series_entry_test.go
+++ b/internal/keeper/series_entry_test.go
@@ -75,20 +75,6 @@
 	m.whileAlive(tickPeriod, m.tick)
 }
 
-// link tells the leader that the entry knows of that it is followed.
-func (m *member) link() {
-	epoch := m.state.Lead().Epoch
-	if m.desk != nil || epoch == m.linked {
-		return
-	}
-	for _, other := range m.members {
-		if other.alive && other.desk != nil && other.desk.epoch == epoch {
-			m.linked = epoch
-			other.whileAlive(m.between(0, tickPeriod), func() { other.apply(keeper.EntryFollows{Name: m.name, Epoch: epoch}) })
-		}
-	}
-}
-
 func (m *member) readLeads() {
 	m.whileAlive(leadsPeriod, m.readLeads)
 	if !m.reaches() {
--- a/internal/keeper/series_model_test.go
+++ b/internal/keeper/series_model_test.go
@@ -305,3 +305,17 @@
 	}
 	c.jobs = append(c.jobs, keeper.JobChange{Offset: int64(len(c.jobs)), ID: j.ID, Job: &j})
 }
+
+// link tells the leader that the entry knows of that it is followed.
+func (m *member) link() {
+	epoch := m.state.Lead().Epoch
+	if m.desk != nil || epoch == m.linked {
+		return
+	}
+	for _, other := range m.members {
+		if other.alive && other.desk != nil && other.desk.epoch == epoch {
+			m.linked = epoch
+			other.whileAlive(m.between(0, tickPeriod), func() { other.apply(keeper.EntryFollows{Name: m.name, Epoch: epoch}) })
+		}
+	}
+}
