Show that a completed job runs again after a restart long after

Cause: the drop of a completed job from the stream of jobs is tried once, and counts as done if it went to the fallback stream. The record of the job's end is deleted after twice the retention, so that a process that reads the streams later takes the job for a new one.

--- /dev/null
+++ b/review/_standin2/runner.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeat = 1500 * time.Millisecond
+	holdMax   = 10 * time.Second
+	stopTime  = 100 * time.Millisecond
+)
+
+// runner is one life of a runner of the platform.
+type runner struct {
+	id      string
+	kind    string
+	rack    string
+	cpu     int
+	service string
+	zone    string
+	address string
+	born    int64
+	start   time.Time
+	store   *store
+	record  *record
+	server  *http.Server
+
+	mu       sync.Mutex
+	fence    int64
+	deadline int64 // end of the leases on its clock, milliseconds
+	running  map[string]*run
+	highest  map[string]int // highest run that was stopped or has ended, by task
+	ends     []end
+	ended    int64
+	acked    int64
+	changed  chan struct{}
+	dark     bool // no call gets an answer, and none is carried out
+	gone     chan struct{}
+	onHold   func() // called when a poll arrives, outside of the lock
+	seq      int
+}
+
+type run struct {
+	task    string
+	number  int
+	from    time.Time
+	took    time.Duration // 0: it lasts
+	fails   bool
+	stopped bool
+	timer   *time.Timer
+}
+
+type end struct {
+	number int64
+	task   string
+	run    int
+	how    string
+}
+
+// specTime finds how long a task takes, as the stand-in client writes it into the spec.
+var specTime = regexp.MustCompile(`ms=(\d+)`)
+
+func newRunner(s *store, rec *record, id, service, zone, kind, rack string, cpu int) (*runner, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &runner{
+		id: id, kind: kind, rack: rack, cpu: cpu, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), start: time.Now(),
+		store: s, record: rec, running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), gone: make(chan struct{}),
+	}
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(l) }()
+	go w.beat()
+	go w.expire()
+	return w, nil
+}
+
+func (w *runner) clock() int64 { return time.Since(w.start).Milliseconds() }
+
+// beat registers the runner, again and again.
+func (w *runner) beat() {
+	for {
+		w.seq++
+		w.store.put("keyed.servers", w.id, map[string]any{
+			"service": w.service, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+			"room":   map[string]int{"cpu": w.cpu, "mem_mb": 262144, "gpu": 0},
+			"labels": []string{w.kind, w.rack}, "clock_ms": w.clock(), "seq": w.seq, "born": w.born,
+		})
+		select {
+		case <-w.gone:
+			time.Sleep(3 * heartbeat) // the entry is removed after three intervals of silence
+			w.store.remove("keyed.servers", w.id)
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// expire kills everything when the leases end.
+func (w *runner) expire() {
+	for {
+		select {
+		case <-w.gone:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		w.mu.Lock()
+		if w.deadline <= w.clock() {
+			for _, r := range w.running {
+				w.end(r, "lapsed")
+			}
+			for _, e := range w.ends {
+				w.record.lapsed(w.id, e.task, e.run)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// lose has the runner crash for good: it runs nothing more and answers nothing.
+func (w *runner) lose() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dark {
+		return
+	}
+	w.dark = true
+	close(w.gone)
+	for _, r := range w.running {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+	}
+	w.running = map[string]*run{}
+	w.record.add("runner %s is lost", w.id)
+}
+
+// end ends a run. The caller holds the lock.
+func (w *runner) end(r *run, how string) {
+	if w.running[r.task] != r {
+		return
+	}
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	delete(w.running, r.task)
+	w.highest[r.task] = max(w.highest[r.task], r.number)
+	w.ended++
+	w.ends = append(w.ends, end{w.ended, r.task, r.number, how})
+	w.record.ended(w.id, r.task, r.number, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+type call struct {
+	Task     string  `json:"task"`
+	Run      int     `json:"run"`
+	Spec     string  `json:"spec"`
+	Deadline float64 `json:"deadline_ms"`
+	Fence    int64   `json:"fence"`
+	Acked    int64   `json:"acked_upto"`
+	Wait     int     `json:"poll_wait_ms"`
+}
+
+func (w *runner) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	var c call
+	err := json.NewDecoder(r.Body).Decode(&c)
+	w.mu.Lock()
+	dark := w.dark
+	w.mu.Unlock()
+	if dark {
+		<-r.Context().Done()
+		return
+	}
+	if r.URL.Path == "/hold" && w.onHold != nil {
+		w.onHold()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dark {
+		return
+	}
+	w.carryOut(rw, r, c, err)
+}
+
+// carryOut carries out a call. The caller holds the lock.
+func (w *runner) carryOut(rw http.ResponseWriter, r *http.Request, c call, err error) {
+	refuse := func(status int, reason string) {
+		reply(rw, status, map[string]any{"clock_ms": w.clock(), "reason": reason, "born": w.born})
+	}
+	switch expected := r.Header.Get("X-Expect-Instance"); {
+	case err != nil:
+		refuse(http.StatusBadRequest, "body")
+		return
+	case expected != "" && expected != w.id:
+		refuse(http.StatusMisdirectedRequest, "instance")
+		return
+	case c.Fence < w.fence:
+		refuse(http.StatusConflict, "fence")
+		return
+	}
+	w.fence = c.Fence
+	w.deadline = max(w.deadline, min(int64(c.Deadline), w.clock()+holdMax.Milliseconds()))
+	switch r.URL.Path {
+	case "/run-start":
+		w.serveStart(rw, c, refuse)
+	case "/run-stop":
+		w.highest[c.Task] = max(w.highest[c.Task], c.Run)
+		if t, ok := w.running[c.Task]; ok && t.number <= c.Run && !t.stopped {
+			t.stopped = true
+			time.AfterFunc(stopTime, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.end(t, "stopped")
+			})
+		}
+		refuse(http.StatusOK, "")
+	case "/pace":
+		refuse(http.StatusOK, "")
+	case "/hold":
+		w.serveHold(rw, r, c)
+	default:
+		refuse(http.StatusNotFound, "")
+	}
+}
+
+func (w *runner) serveStart(rw http.ResponseWriter, c call, refuse func(int, string)) {
+	if t, ok := w.running[c.Task]; ok && t.number == c.Run {
+		refuse(http.StatusOK, "")
+		return
+	}
+	if _, ok := w.running[c.Task]; ok || c.Run <= w.highest[c.Task] {
+		refuse(http.StatusConflict, "old")
+		return
+	}
+	if w.deadline <= w.clock() {
+		refuse(http.StatusConflict, "late")
+		return
+	}
+	t := &run{task: c.Task, number: c.Run, from: time.Now()}
+	w.running[c.Task] = t
+	w.record.started(w, c.Task, c.Run)
+	if m := specTime.FindStringSubmatch(c.Spec); m != nil {
+		n, _ := strconv.Atoi(m[1])
+		t.took = time.Duration(n) * time.Millisecond
+		t.timer = time.AfterFunc(t.took, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.end(t, "done")
+		})
+	}
+	refuse(http.StatusOK, "")
+}
+
+// serveHold answers a poll. The caller holds the lock, which is released while it waits.
+func (w *runner) serveHold(rw http.ResponseWriter, r *http.Request, c call) {
+	if c.Acked > w.acked {
+		w.acked = c.Acked
+		for len(w.ends) > 0 && w.ends[0].number <= c.Acked {
+			w.record.acked(w.id, w.ends[0].task, w.ends[0].run, w.ends[0].how)
+			w.ends = w.ends[1:]
+		}
+	}
+	deadline := time.After(time.Duration(min(c.Wait, 2000)) * time.Millisecond)
+	for waits := true; waits && len(w.ends) == 0 && c.Wait > 0 && !w.dark; {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			waits = false
+		case <-r.Context().Done():
+			waits = false
+		}
+		w.mu.Lock()
+	}
+	if w.dark {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+		return
+	}
+	running, ended := [][]any{}, [][]any{}
+	for _, t := range w.running {
+		percent := 100
+		if t.took > 0 {
+			percent = min(99, int(100*time.Since(t.from)/t.took))
+		}
+		running = append(running, []any{t.task, t.number, "", percent, 0})
+	}
+	for _, e := range w.ends[:min(500, len(w.ends))] {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	reply(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born, "running": running, "ended": ended})
+}
+
+// runs returns the tasks that run on the runner.
+func (w *runner) runs() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var tasks []string
+	for task := range w.running {
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+// key names a run in records.
+func key(task string, run int) string { return fmt.Sprintf("%s run %d", task, run) }
