Show that a refused order on the pace of a task is never repeated

Cause: the leader takes an order on the pace for carried out when it sends it and ignores its outcome.

--- a/review/_standin2/again.go
+++ b/review/_standin2/again.go
@@ -23,7 +23,7 @@
 		return giveUp(nil, path, err.Error())
 	}
 	defer c.close()
-	if why := c.smallDeployment(); why != "" {
+	if why := c.smallDeployment(6); why != "" {
 		return giveUp(c, path, why)
 	}
 	const jobs = 6
@@ -72,15 +72,15 @@
 // jobID returns the identifier of a job.
 func jobID(n int) string { return fmt.Sprintf("5c0e7a21d94b%04x", n) }
 
-// smallDeployment starts three entries and six runners. It returns why it could not.
-func (c *cell) smallDeployment() string {
+// smallDeployment starts three entries and some runners, a third of kind b. It returns why it could not.
+func (c *cell) smallDeployment(runners int) string {
 	zones := []string{"muc-nord", "muc-sued", "nue-hafen"}
-	for n := range 6 {
+	for n := range runners {
 		kind := "a"
-		if n >= 4 {
+		if n >= runners*2/3 {
 			kind = "b"
 		}
-		if err := c.addRunner(fmt.Sprintf("i-7f3a91c%d", n), zones[n%3], kind, fmt.Sprintf("r1-%d", n/3), 64000); err != nil {
+		if err := c.addRunner(fmt.Sprintf("i-7f3a91%02d", n), zones[n%3], kind, fmt.Sprintf("r1-%d", n/3), 64000); err != nil {
 			return err.Error()
 		}
 	}
--- a/review/_standin2/cell.go
+++ b/review/_standin2/cell.go
@@ -87,26 +87,29 @@
 	return err
 }
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns loopback addresses that nobody listens on. Each process of the
+// stand-ins has a host of its own, so that cases that run at the same time don't collide.
+func freeAddresses(n int) ([]string, error) {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", host)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // addEntry writes the settings of an entry, as the template of the deploy file gives them,
 // and starts it.
 func (c *cell) addEntry(name, zone string) error {
-	var addresses [4]string
-	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		addresses[i] = a
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return err
 	}
 	e := &entry{name: name, zone: zone, front: addresses[0], config: filepath.Join(c.dir, name+".yaml")}
 	settings := fmt.Sprintf("name: %q\nzone: %q\nlisten:\n  callers: %q\n  ready: %q\n  peers: %q\n  metrics: %q\nplatform: %q\nadvice: \"\"\nlease: %dms\ngrace: 6s\nkeep: %dms\nshare: 0.4\nmemory: 284\n",
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +16,7 @@
 	heartbeat = 1500 * time.Millisecond
 	holdMax   = 10 * time.Second
 	stopTime  = 100 * time.Millisecond
+	paceTime  = 100 * time.Millisecond
 )
 
 // runner is one life of a runner of the platform.
@@ -45,6 +47,7 @@
 	gone     chan struct{}
 	onHold   func() // called when a poll arrives, outside of the lock
 	seq      int
+	grey     func(path string) bool // whether a call is refused with 503; called with the lock
 }
 
 type run struct {
@@ -55,6 +58,9 @@
 	fails   bool
 	stopped bool
 	timer   *time.Timer
+	serves  bool
+	fills   bool
+	pace    int
 }
 
 type end struct {
@@ -168,6 +174,7 @@
 	Fence    int64   `json:"fence"`
 	Acked    int64   `json:"acked_upto"`
 	Wait     int     `json:"poll_wait_ms"`
+	Percent  int     `json:"percent"`
 }
 
 func (w *runner) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -207,6 +214,11 @@
 		refuse(http.StatusConflict, "fence")
 		return
 	}
+	if w.grey != nil && w.grey(r.URL.Path) {
+		w.record.add("%s answers %s with 503", w.id, r.URL.Path)
+		refuse(http.StatusServiceUnavailable, "")
+		return
+	}
 	w.fence = c.Fence
 	w.deadline = max(w.deadline, min(int64(c.Deadline), w.clock()+holdMax.Milliseconds()))
 	switch r.URL.Path {
@@ -224,6 +236,14 @@
 		}
 		refuse(http.StatusOK, "")
 	case "/pace":
+		if t, ok := w.running[c.Task]; ok && t.number == c.Run {
+			time.AfterFunc(paceTime, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				t.pace = c.Percent
+			})
+		}
+		w.record.add("%s is told pace %d for %s", w.id, c.Percent, key(c.Task, c.Run))
 		refuse(http.StatusOK, "")
 	case "/hold":
 		w.serveHold(rw, r, c)
@@ -245,7 +265,7 @@
 		refuse(http.StatusConflict, "late")
 		return
 	}
-	t := &run{task: c.Task, number: c.Run, from: time.Now()}
+	t := &run{task: c.Task, number: c.Run, from: time.Now(), pace: 100, serves: strings.Contains(c.Spec, "serves"), fills: strings.Contains(c.Spec, "fills")}
 	w.running[c.Task] = t
 	w.record.started(w, c.Task, c.Run)
 	if m := specTime.FindStringSubmatch(c.Spec); m != nil {
@@ -294,7 +314,11 @@
 		if t.took > 0 {
 			percent = min(99, int(100*time.Since(t.from)/t.took))
 		}
-		running = append(running, []any{t.task, t.number, "", percent, 0})
+		figure := 0
+		if t.serves {
+			figure, _ = w.tail()
+		}
+		running = append(running, []any{t.task, t.number, "", percent, figure})
 	}
 	for _, e := range w.ends[:min(500, len(w.ends))] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
@@ -302,6 +326,24 @@
 	reply(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born, "running": running, "ended": ended})
 }
 
+const (
+	// tailAlone is the tail of a serving task's response times without tasks that fill
+	// beside it, and tailOfFill what one of these at full pace adds, milliseconds.
+	tailAlone  = 50
+	tailOfFill = 300
+)
+
+// tail returns the tail of the response times of the serving tasks, milliseconds, and the
+// sum of the paces of the tasks that fill. The caller holds the lock.
+func (w *runner) tail() (tail, paces int) {
+	for _, t := range w.running {
+		if t.fills {
+			paces += t.pace
+		}
+	}
+	return tailAlone + tailOfFill*paces/100, paces
+}
+
 // runs returns the tasks that run on the runner.
 func (w *runner) runs() []string {
 	w.mu.Lock()
--- a/review/_standin2/waiting.go
+++ b/review/_standin2/waiting.go
@@ -20,7 +20,7 @@
 		return giveUp(nil, path, err.Error())
 	}
 	defer c.close()
-	if why := c.smallDeployment(); why != "" {
+	if why := c.smallDeployment(8); why != "" {
 		return giveUp(c, path, why)
 	}
 	first := map[string]any{"count": 1, "cpu": 20000, "mem_mb": 1024, "est_ms": 60000, "required_label": "b"}
