Show that a start that was on its way when its runner was cut off runs twice

Cause: a run whose leases have expired is given up although its start may still arrive, and the leases of its runner are renewed once the runner is heard, without stopping the run or raising the fence there. Case 6, a script: one runner of ten is cut off for 4.8 s.

--- a/review/_standin2/cut.go
+++ b/review/_standin2/cut.go
@@ -51,10 +51,7 @@
 	<-polled
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
-		c.record.add("%s is cut off for %v", victim.id, cutTime)
-		victim.mu.Lock()
-		victim.cutUntil = time.Now().Add(cutTime)
-		victim.mu.Unlock()
+		victim.cut(cutTime)
 	}
 	step := map[string]any{"count": 30, "cpu": 2000, "mem_mb": 256, "est_ms": 3000, "required_label": "c"}
 	for n := range 2 {
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -34,22 +35,24 @@
 	record  *record
 	server  *http.Server
 
-	mu       sync.Mutex
-	fence    int64
-	deadline int64 // end of the leases on its clock, milliseconds
-	running  map[string]*run
-	highest  map[string]int // highest run that was stopped or has ended, by task
-	ends     []end
-	ended    int64
-	acked    int64
-	changed  chan struct{}
-	dark     bool // no call gets an answer, and none is carried out
-	gone     chan struct{}
-	onHold   func() // called when a poll arrives, outside of the lock
-	seq      int
-	cutUntil time.Time              // no call passes before; what runs goes on
-	answers  time.Duration          // how long an answer takes
-	grey     func(path string) bool // whether a call is refused with 503; called with the lock
+	mu          sync.Mutex
+	fence       int64
+	deadline    int64 // end of the leases on its clock, milliseconds
+	running     map[string]*run
+	highest     map[string]int // highest run that was stopped or has ended, by task
+	ends        []end
+	ended       int64
+	acked       int64
+	changed     chan struct{}
+	dark        bool // no call gets an answer, and none is carried out
+	gone        chan struct{}
+	onHold      func() // called when a poll arrives, outside of the lock
+	seq         int
+	cutFrom     time.Time              // when the last cut began
+	cutUntil    time.Time              // no call passes before; what runs goes on
+	retransmits bool                   // calls that were sent during a cut on open connections arrive after it
+	answers     time.Duration          // how long an answer takes
+	grey        func(path string) bool // whether a call is refused with 503; called with the lock
 }
 
 type run struct {
@@ -84,7 +87,9 @@
 		id: id, kind: kind, rack: rack, cpu: cpu, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), start: time.Now(),
 		store: s, record: rec, running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), gone: make(chan struct{}),
 	}
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, acceptedAt{}, time.Now())
+	}}
 	go func() { _ = w.server.Serve(l) }()
 	go w.beat()
 	go w.expire()
@@ -183,14 +188,18 @@
 	w.mu.Lock()
 	cut, dark := time.Until(w.cutUntil), w.dark
 	w.mu.Unlock()
-	if cut > 0 {
+	if cut > 0 && !w.retransmits {
 		// What is sent during a cut doesn't arrive, also after it, as its sender has given up.
 		<-r.Context().Done()
 		return
 	}
-	time.Sleep(w.answers)
 	var c call
 	err := json.NewDecoder(r.Body).Decode(&c)
+	if cut > 0 {
+		w.holdUp(r, c, cut)
+		return
+	}
+	time.Sleep(w.answers)
 	if dark {
 		<-r.Context().Done()
 		return
@@ -206,9 +215,57 @@
 	w.carryOut(rw, r, c, err)
 }
 
+// acceptedAt is the key of the time at which the connection of a call was opened.
+type acceptedAt struct{}
+
+// holdUp carries a call out that was sent during a cut on a connection that was open before:
+// when its sender's system sends it again for the first time after the cut. That is after
+// 0.2, 0.6, 1.4, 3.0 or 6.2 s.
+func (w *runner) holdUp(r *http.Request, c call, cut time.Duration) {
+	opened, _ := r.Context().Value(acceptedAt{}).(time.Time)
+	w.mu.Lock()
+	before := opened.Before(w.cutFrom)
+	w.mu.Unlock()
+	if !before {
+		<-r.Context().Done()
+		return
+	}
+	wait, next := time.Duration(0), 200*time.Millisecond
+	for wait < cut {
+		wait, next = wait+next, 2*next
+	}
+	w.record.add("%s: %s %s is held up for %v", w.id, r.URL.Path, key(c.Task, c.Run), wait)
+	time.AfterFunc(wait, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.record.add("%s: %s %s arrives", w.id, r.URL.Path, key(c.Task, c.Run))
+		c.Wait = 0
+		w.carryOut(nobody{http.Header{}}, r, c, nil)
+	})
+	<-r.Context().Done()
+}
+
+// nobody is the client of a call whose answer arrives nowhere.
+type nobody struct{ header http.Header }
+
+func (n nobody) Header() http.Header         { return n.header }
+func (n nobody) Write(b []byte) (int, error) { return len(b), nil }
+func (n nobody) WriteHeader(int)             {}
+
+// cut cuts the runner off for a time.
+func (w *runner) cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutFrom, w.cutUntil = time.Now(), time.Now().Add(d)
+	w.record.add("%s is cut off for %v", w.id, d)
+}
+
 // carryOut carries out a call. The caller holds the lock.
 func (w *runner) carryOut(rw http.ResponseWriter, r *http.Request, c call, err error) {
 	refuse := func(status int, reason string) {
+		if status != http.StatusOK {
+			w.record.add("%s refuses %s %s: %d %s", w.id, r.URL.Path, key(c.Task, c.Run), status, reason)
+		}
 		reply(rw, status, map[string]any{"clock_ms": w.clock(), "reason": reason, "born": w.born})
 	}
 	switch expected := r.Header.Get("X-Expect-Instance"); {
