--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -25,12 +25,11 @@
 
 // store is the platform's metadata store: topics with one partition each.
 type store struct {
-	mu       sync.Mutex
-	topics   map[string]*topic
-	fault    func(r *http.Request) int // status of a refusal, 0 for none
-	address  string
-	server   *http.Server
-	refusals int
+	mu      sync.Mutex
+	topics  map[string]*topic
+	fault   func(r *http.Request) int // status of a refusal, 0 for none
+	address string
+	server  *http.Server
 }
 
 // topic is one partition.
@@ -95,9 +94,6 @@
 	s.mu.Unlock()
 	if fault != nil {
 		if status := fault(r); status != 0 {
-			s.mu.Lock()
-			s.refusals++
-			s.mu.Unlock()
 			reply(w, status, map[string]string{})
 			return
 		}
