--- a/review/_standin2/cell.go
+++ b/review/_standin2/cell.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -44,6 +46,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	group   errgroup.Group
 }
 
 // newCell starts the store and publishes a configuration with one queue.
@@ -138,10 +141,11 @@
 	e.mu.Lock()
 	e.process, e.ended = p, ended
 	e.mu.Unlock()
-	go func() {
+	e.group.Go(func() error {
 		_ = p.Wait()
 		close(ended)
-	}()
+		return nil
+	})
 	return nil
 }
 
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"net"
 	"net/http"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -34,6 +35,7 @@
 	store   *store
 	record  *record
 	server  *http.Server
+	group   errgroup.Group
 
 	mu          sync.Mutex
 	fence       int64
@@ -75,9 +77,6 @@
 	how    string
 }
 
-// specTime finds how long a task takes, as the stand-in client writes it into the spec.
-var specTime = regexp.MustCompile(`ms=(\d+)`)
-
 func newRunner(s *store, rec *record, id, service, zone, kind, rack string, cpu int) (*runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -90,16 +89,16 @@
 	w.server = &http.Server{Handler: w, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, acceptedAt{}, time.Now())
 	}}
-	go func() { _ = w.server.Serve(l) }()
-	go w.beat()
-	go w.expire()
+	w.group.Go(func() error { return w.server.Serve(l) })
+	w.group.Go(w.beat)
+	w.group.Go(w.expire)
 	return w, nil
 }
 
 func (w *runner) clock() int64 { return time.Since(w.start).Milliseconds() }
 
 // beat registers the runner, again and again.
-func (w *runner) beat() {
+func (w *runner) beat() error {
 	for {
 		w.seq++
 		w.store.put("keyed.servers", w.id, map[string]any{
@@ -111,18 +110,18 @@
 		case <-w.gone:
 			time.Sleep(3 * heartbeat) // the entry is removed after three intervals of silence
 			w.store.remove("keyed.servers", w.id)
-			return
+			return nil
 		case <-time.After(heartbeat):
 		}
 	}
 }
 
 // expire kills everything when the leases end.
-func (w *runner) expire() {
+func (w *runner) expire() error {
 	for {
 		select {
 		case <-w.gone:
-			return
+			return nil
 		case <-time.After(5 * time.Millisecond):
 		}
 		w.mu.Lock()
@@ -333,8 +332,8 @@
 	t := &run{task: c.Task, number: c.Run, from: time.Now(), pace: 100, serves: strings.Contains(c.Spec, "serves"), fills: strings.Contains(c.Spec, "fills")}
 	w.running[c.Task] = t
 	w.record.started(w, c.Task, c.Run)
-	if m := specTime.FindStringSubmatch(c.Spec); m != nil {
-		n, _ := strconv.Atoi(m[1])
+	if _, text, timed := strings.Cut(c.Spec, "ms="); timed { // as the stand-in client writes it
+		n, _ := strconv.Atoi(text)
 		t.took = time.Duration(n) * time.Millisecond
 		t.timer = time.AfterFunc(t.took, func() {
 			w.mu.Lock()
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // appendTime is how long a partition takes for one append.
@@ -30,6 +32,7 @@
 	fault   func(r *http.Request) int // status of a refusal, 0 for none
 	address string
 	server  *http.Server
+	group   errgroup.Group
 }
 
 // topic is one partition.
@@ -60,7 +63,7 @@
 	}
 	s.address = l.Addr().String()
 	s.server = &http.Server{Handler: s}
-	go func() { _ = s.server.Serve(l) }()
+	s.group.Go(func() error { return s.server.Serve(l) })
 	return s, nil
 }
 
