--- a/review/_standin2/cell.go
+++ b/review/_standin2/cell.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -34,10 +36,15 @@
 	attempts int
 	entries  []*entry
 	client   *http.Client
+	group    errgroup.Group
+	mu       sync.Mutex
+	started  []*entry // entries that a process was started of
+	closed   bool     // no process is started any more
 }
 
 // entry is one process of the system.
 type entry struct {
+	cell    *cell
 	name    string
 	zone    string
 	front   string
@@ -61,6 +68,7 @@
 	}
 	c := &cell{dir: dir, keep: keep, store: s, record: newRecord(), client: &http.Client{Timeout: 4 * time.Second}}
 	c.attempts = attempts
+	c.endInTime()
 	c.configure(7, []string{prefix})
 	return c, nil
 }
@@ -114,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	e := &entry{name: name, zone: zone, front: addresses[0], config: filepath.Join(c.dir, name+".yaml")}
+	e := &entry{cell: c, name: name, zone: zone, front: addresses[0], config: filepath.Join(c.dir, name+".yaml")}
 	settings := fmt.Sprintf("name: %q\nzone: %q\nlisten:\n  callers: %q\n  ready: %q\n  peers: %q\n  metrics: %q\nplatform: %q\nadvice: \"\"\nlease: %dms\ngrace: 6s\nkeep: %dms\nshare: 0.4\nmemory: 284\n",
 		name, zone, addresses[0], addresses[1], addresses[2], addresses[3], c.store.address, holdMax.Milliseconds(), c.keep.Milliseconds())
 	if err := os.WriteFile(e.config, []byte(settings), 0o600); err != nil {
@@ -125,12 +133,20 @@
 		return err
 	}
 	e.log = log
+	if err := e.start(); err != nil {
+		return err
+	}
 	c.entries = append(c.entries, e)
-	return e.start()
+	return nil
 }
 
 // start starts the process of an entry with the command of the deploy file.
 func (e *entry) start() error {
+	e.cell.mu.Lock()
+	defer e.cell.mu.Unlock()
+	if e.cell.closed {
+		return errors.New("the case is over")
+	}
 	p := exec.Command("target/endivelock", "schedule", "--config", e.config)
 	p.Env = append(os.Environ(), "ENDIVELOCK_SETTINGS="+e.config)
 	p.Stdout, p.Stderr = e.log, e.log
@@ -139,6 +155,9 @@
 	}
 	ended := make(chan struct{})
 	e.mu.Lock()
+	if e.process == nil {
+		e.cell.started = append(e.cell.started, e)
+	}
 	e.process, e.ended = p, ended
 	e.mu.Unlock()
 	e.group.Go(func() error {
@@ -156,6 +175,12 @@
 	_ = e.process.Process.Signal(s)
 }
 
+// kill ends the process and waits until it has ended.
+func (e *entry) kill() {
+	e.signal(syscall.SIGKILL)
+	<-e.ended
+}
+
 // restart stops the process with SIGTERM, as the platform does, and starts another one.
 func (e *entry) restart(grace time.Duration) error {
 	e.signal(syscall.SIGTERM)
@@ -168,12 +193,36 @@
 	return e.start()
 }
 
+// mostTime is how long a case may take. What it has started is ended then.
+const mostTime = 112 * time.Second
+
+// endInTime ends the case, as one that could not run, when it takes too long or is told to
+// stop.
+func (c *cell) endInTime() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	c.group.Go(func() error {
+		select {
+		case <-stop:
+		case <-time.After(mostTime):
+		}
+		fmt.Println("could not run: stopped, or out of time")
+		c.close()
+		os.Exit(failed)
+		return nil
+	})
+}
+
 // close ends all processes and stand-ins.
 func (c *cell) close() {
-	for _, e := range c.entries {
-		e.signal(syscall.SIGCONT)
-		e.signal(syscall.SIGKILL)
-		<-e.ended
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	for _, e := range c.started {
+		e.kill()
 		_ = e.log.Close()
 	}
 	for _, w := range c.runners {
--- a/review/_standin2/feeds.go
+++ b/review/_standin2/feeds.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -26,10 +25,10 @@
 		return giveUp(nil, path, err.Error())
 	}
 	defer c.close()
-	if why := c.smallDeployment(10); why != "" {
+	if why := c.smallDeployment(20); why != "" {
 		return giveUp(c, path, why)
 	}
-	const feeds = 20
+	const feeds = 40
 	lasting := map[string]any{"count": feeds, "cpu": 5000, "mem_mb": 1024, "est_ms": 60000, "long_running": true}
 	if _, ok := c.submit(jobID(100), map[string]any{"spec": "feed", "steps": []any{lasting}}); !ok {
 		return giveUp(c, path, "a job was not accepted")
@@ -61,8 +60,7 @@
 		if leader == nil {
 			return giveUp(c, path, "no entry leads")
 		}
-		leader.signal(syscall.SIGKILL)
-		<-leader.ended
+		leader.kill()
 		c.record.add("%s, which leads, is gone for good", leader.name)
 		calmFrom = time.Now()
 	}
