Give no entry of a case an address that another one has been given

Cause: the ports of an entry were drawn before the process of the last one listened on its own, and could be the same. Done: addresses are given once, and a case that doesn't get ready writes the ends of its entries' logs to record.txt.

--- a/review/_standin2/again.go
+++ b/review/_standin2/again.go
@@ -90,6 +90,7 @@
 		}
 	}
 	if !c.awaitReady() {
+		c.recordLogs()
 		return "the entries did not get ready"
 	}
 	time.Sleep(2 * time.Second)
--- a/review/_standin2/cell.go
+++ b/review/_standin2/cell.go
@@ -36,6 +36,7 @@
 	attempts int
 	entries  []*entry
 	client   *http.Client
+	given    map[string]bool // addresses that entries have been given
 	group    errgroup.Group
 	mu       sync.Mutex
 	started  []*entry // entries that a process was started of
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cell{dir: dir, keep: keep, store: s, record: newRecord(), client: &http.Client{Timeout: 4 * time.Second}}
+	c := &cell{dir: dir, keep: keep, store: s, record: newRecord(), client: &http.Client{Timeout: 4 * time.Second}, given: map[string]bool{}}
 	c.attempts = attempts
 	c.endInTime()
 	c.configure(7, []string{prefix})
@@ -98,19 +99,23 @@
 	return err
 }
 
-// freeAddresses returns loopback addresses that nobody listens on. Each process of the
+// freeAddresses returns loopback addresses that nobody listens on and that no entry has been
+// given: those of one that is being started aren't listened on yet. Each process of the
 // stand-ins has a host of its own, so that cases that run at the same time don't collide.
-func freeAddresses(n int) ([]string, error) {
+func (c *cell) freeAddresses(n int) ([]string, error) {
 	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>15&0x7f, pid>>7&0xff, 1+pid&0x7f)
 	var addresses []string
-	for range n {
+	for len(addresses) < n {
 		l, err := net.Listen("tcp", host)
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		if a := l.Addr().String(); !c.given[a] {
+			c.given[a] = true
+			addresses = append(addresses, a)
+		}
 	}
 	return addresses, nil
 }
@@ -118,7 +123,7 @@
 // addEntry writes the settings of an entry, as the template of the deploy file gives them,
 // and starts it.
 func (c *cell) addEntry(name, zone string) error {
-	addresses, err := freeAddresses(4)
+	addresses, err := c.freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -315,3 +320,20 @@
 	text := string(data)
 	return strings.LastIndex(text, `"what":"lead"`) > strings.LastIndex(text, `"what":"deposed"`)
 }
+
+// recordLogs adds the ends of the entries' logs to the record, and which processes have ended.
+func (c *cell) recordLogs() {
+	const lines = 8
+	for _, e := range c.entries {
+		select {
+		case <-e.ended:
+			c.record.add("the process of %s has ended", e.name)
+		default:
+		}
+		data, _ := os.ReadFile(e.log.Name())
+		all := strings.Split(strings.TrimSpace(string(data)), "\n")
+		for _, line := range all[max(0, len(all)-lines):] {
+			c.record.add("log of %s: %s", e.name, line)
+		}
+	}
+}
