Keep the end of a job until no stream has the job

Cause: the end of a job was deleted by the clock alone, while the job could still be in the stream of jobs. A drop that the stream refused went to the fallback stream and counted as done, replicas took it for a drop from both streams, and one that failed was tried once a leader. So no entry can find the job without its end, whoever leads. On the way: cancellations are dropped, too, and an entry that missed a drop which the log has trimmed doesn't keep the job.

--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 // knows that it is not sent.
 type request struct {
 	value replicator.Value
+	drop  bool // of use only in the journal's own stream
 	done  chan error
 	taken *atomic.Bool
 }
@@ -82,8 +84,8 @@
 	stream string
 	queue  chan request
 	Delay  metrics.Timer // duration of one append
-	// Added is called with the values that were added. Their offsets are not valid
-	// if they went to the fallback stream. It may be nil.
+	// Added is called with the values that were added, with their offsets in the stream
+	// that has taken them. It may be nil.
 	Added func(values []replicator.Value, diverted bool)
 	// Fallback returns the fallback stream, which accepts values while the journal's
 	// own stream refuses them, and whether there is one. It may be nil.
@@ -147,13 +149,23 @@
 // Add adds a value and returns when it is in the log. An error of kind Unanswered
 // means that the value may be there nevertheless.
 func (j *Journal) Add(ctx context.Context, v replicator.Value) error {
+	return j.put(ctx, request{value: v, done: make(chan error, 1), taken: new(atomic.Bool)})
+}
+
+// Drop drops a name from the stream and returns when that is in the log. It fails if the
+// stream refuses it: the fallback stream would not drop the value that is in this one.
+func (j *Journal) Drop(ctx context.Context, name string) error {
+	return j.put(ctx, request{value: replicator.Value{Name: name}, drop: true, done: make(chan error, 1), taken: new(atomic.Bool)})
+}
+
+// put queues a request and waits for its result.
+func (j *Journal) put(ctx context.Context, r request) error {
 	if j.Outage() > 0 {
 		return congested("the log does not answer")
 	}
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < j.spacingLeft() {
 		return congested("this entry appends again only after the deadline")
 	}
-	r := request{v, make(chan error, 1), new(atomic.Bool)}
 	select {
 	case j.queue <- r:
 	default:
@@ -255,17 +267,16 @@
 }
 
 func (j *Journal) append(ctx context.Context, batch []request) {
-	values := make([]replicator.Value, len(batch))
-	for i, r := range batch {
-		values[i] = r.value
-	}
+	values := valuesOf(batch)
 	began := time.Now()
 	j.track(began, nil)
 	position, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Values: values, Timeout: appendTimeout})
-	diverted := false
+	dropErr, diverted := err, false
 	if classifier.NotExecuted(err) && j.Fallback != nil {
-		if s, ok := j.Fallback(); ok {
-			diverted, err = true, j.appendToFallback(ctx, s, values)
+		kept := valuesOf(slices.DeleteFunc(slices.Clone(batch), func(r request) bool { return r.drop }))
+		if s, ok := j.Fallback(); ok && len(kept) > 0 {
+			values, diverted = kept, true
+			position, err = j.appendToFallback(ctx, s, kept)
 		}
 	}
 	j.Delay.UpdateSince(began)
@@ -279,14 +290,27 @@
 		j.Added(values, diverted)
 	}
 	for _, r := range batch {
-		r.done <- err
+		if r.drop {
+			r.done <- dropErr
+		} else {
+			r.done <- err
+		}
+	}
+}
+
+// valuesOf returns the values of requests.
+func valuesOf(batch []request) []replicator.Value {
+	values := make([]replicator.Value, len(batch))
+	for i, r := range batch {
+		values[i] = r.value
 	}
+	return values
 }
 
 // appendToFallback adds values to the fallback stream after the journal's own has
-// refused them. Each call uses a new sequence number, so that the log does not
+// refused them, and returns their position there. Each call uses a new sequence number, so that the log does not
 // mistake it for a repeat of an earlier one that went unanswered.
-func (j *Journal) appendToFallback(ctx context.Context, s Fallback, values []replicator.Value) error {
+func (j *Journal) appendToFallback(ctx context.Context, s Fallback, values []replicator.Value) (replicator.Position, error) {
 	renamed := make([]replicator.Value, len(values))
 	for i, v := range values {
 		renamed[i] = replicator.Value{Name: s.Name(v.Name), Data: v.Data}
@@ -295,24 +319,23 @@
 		j.epoch, j.sequence = s.Epoch, 0
 	}
 	j.sequence++
-	err := j.tryFallback(ctx, s, renamed)
+	position, err := j.tryFallback(ctx, s, renamed)
 	var failed *classifier.Error
 	if errors.As(err, &failed) && failed.Kind == classifier.OutOfSequence {
 		j.sequence = failed.Number
-		err = j.tryFallback(ctx, s, renamed)
+		position, err = j.tryFallback(ctx, s, renamed)
 	}
 	if classifier.Is(err, classifier.Fenced) || classifier.Is(err, classifier.OutOfSequence) {
 		// Another attempt of the same append may have succeeded before.
-		return &classifier.Error{Kind: classifier.Unanswered, Call: "append", Cause: err}
+		return position, &classifier.Error{Kind: classifier.Unanswered, Call: "append", Cause: err}
 	}
-	return err
+	return position, err
 }
 
-func (j *Journal) tryFallback(ctx context.Context, s Fallback, values []replicator.Value) error {
-	_, err := j.log.Append(ctx, replicator.Append{
+func (j *Journal) tryFallback(ctx context.Context, s Fallback, values []replicator.Value) (replicator.Position, error) {
+	return j.log.Append(ctx, replicator.Append{
 		Stream: s.Stream, Values: values, Writer: FallbackWriter, Epoch: s.Epoch, Sequence: j.sequence, Timeout: appendTimeout,
 	})
-	return err
 }
 
 // track records when an append was sent, or, with a zero time, that it ended with
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -414,6 +414,30 @@
 	assert.Equal(t, all[4].Epoch, int64(9))
 }
 
+// A drop that goes to the fallback stream leaves the value in the stream that refused it
+// (review/8), so that it must not count as done.
+func TestADropThatItsStreamRefusesFails(t *testing.T) {
+	l := &log{}
+	l.fail = func(n int) error {
+		if l.all()[n-1].Stream == "jobs" {
+			return &classifier.Error{Kind: classifier.Busy}
+		}
+		return nil
+	}
+	j := serveJournal(t, l)
+	j.Fallback = func() (recorder.Fallback, bool) {
+		return recorder.Fallback{Stream: "runs", Epoch: 9, Name: func(name string) string { return "+" + name }}, true
+	}
+	assert.Assert(t, classifier.Is(j.Drop(context.Background(), "a"), classifier.Busy))
+	j.MarkAvailable()
+	assert.NilError(t, j.Add(context.Background(), replicator.Value{Name: "b", Data: []byte("{}")}))
+	for _, a := range l.all() {
+		for _, v := range a.Values {
+			assert.Assert(t, a.Stream == "jobs" || v.Name != "+a", "the drop went to stream %s", a.Stream)
+		}
+	}
+}
+
 // slowLog answers an append long after it has taken it.
 type slowLog struct{ delay time.Duration }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -40,9 +40,15 @@
 
 // start runs an entry on the loopback interface.
 func start(t *testing.T, name string, l *emulator.Log, w commander.Workers) *member {
+	t.Helper()
+	return startKeeping(t, name, l, w, time.Minute)
+}
+
+// startKeeping is like start, for an entry that keeps the states of ended jobs for a time.
+func startKeeping(t *testing.T, name string, l *emulator.Log, w commander.Workers, keep time.Duration) *member {
 	t.Helper()
 	ports := &emulator.Ports{}
-	s := loader.Cell{Name: name, Zone: "z", Lease: 6 * time.Second, Grace: 2 * time.Second, Keep: time.Minute, Share: 1, Memory: 100}
+	s := loader.Cell{Name: name, Zone: "z", Lease: 6 * time.Second, Grace: 2 * time.Second, Keep: keep, Share: 1, Memory: 100}
 	for _, address := range []*string{&s.Listen.Callers, &s.Listen.Ready, &s.Listen.Peers, &s.Listen.Metrics} {
 		free, err := ports.Address()
 		assert.NilError(t, err)
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,16 +126,10 @@
 	e.logger.WithError(err).Info("notifying the leader of jobs failed; it has to read them from the log")
 }
 
-// submitJobs submits jobs that are in the log to the control thread. If inRuns is
-// set, they are in the stream of runs.
+// submitJobs submits jobs that are in the log to the control thread, at their offsets in
+// the stream of runs if inRuns is set, or in that of jobs.
 func (e *Entry) submitJobs(values []replicator.Value, inRuns bool) {
-	read := e.jobsRead(replicator.Batch{Values: values, Next: -1})
-	for i := range read.Changes {
-		if read.Changes[i].InRuns = inRuns; inRuns {
-			read.Changes[i].Offset = math.MaxInt64 // no offset of the stream of jobs
-		}
-	}
-	e.controller.Submit(read)
+	e.controller.Submit(e.jobChanges(replicator.Batch{Values: values, Next: -1}, inRuns))
 }
 
 // jobsReadPause returns the time until the next read of the jobs.
@@ -157,18 +150,23 @@
 	return usual
 }
 
-func (e *Entry) jobsRead(b replicator.Batch) keeper.JobsRead {
+func (e *Entry) jobsRead(b replicator.Batch) keeper.JobsRead { return e.jobChanges(b, false) }
+
+// jobChanges decodes a batch of records of jobs. Those that were applied before, when they
+// were written or read, are not decoded again: the first record of a job counts.
+func (e *Entry) jobChanges(b replicator.Batch, inRuns bool) keeper.JobsRead {
 	read := keeper.JobsRead{Next: b.Next, Snapshot: b.Snapshot}
 	known := e.controller.Snapshot()
 	for _, v := range b.Values {
-		if _, ok := known.Job(ledger.ID(v.Name)); ok && v.Data != nil {
-			continue // the first record of a job counts; it was applied when it was written or read before
-		}
-		c, err := encoder.JobChange(v)
-		if err != nil {
-			e.logger.WithError(err).Error("record ignored, since decoding it failed")
-			continue
+		c := keeper.JobChange{Offset: v.Offset, ID: ledger.ID(v.Name)}
+		if b.Snapshot || v.Data == nil || !known.Holds(c.ID, false, inRuns) {
+			var err error
+			if c, err = encoder.JobChange(v); err != nil {
+				e.logger.WithError(err).Error("record ignored, since decoding it failed")
+				continue
+			}
 		}
+		c.InRuns = inRuns
 		read.Changes = append(read.Changes, c)
 	}
 	return read
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +17,6 @@
 	"github.com/endivelock/endivelock/internal/encoder"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
-	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/linker"
 	"github.com/endivelock/endivelock/internal/replicator"
 	"github.com/endivelock/endivelock/internal/timer"
@@ -31,11 +29,6 @@
 	fenceAttempts = 4
 	// discardTimeout bounds the calls that drop an ended job.
 	discardTimeout = 3 * time.Second
-	// discardPause is the shortest pause, and half of the longest, before an ended job is
-	// dropped from a log that does not take values; discardWaits bounds the pauses. What
-	// clients wait for goes first.
-	discardPause = time.Second
-	discardWaits = 20
 	// minAppendTime is the least time that an append by an entry itself is taken to keep its
 	// stream busy.
 	minAppendTime = 10 * time.Millisecond
@@ -293,31 +286,42 @@
 	return max(entries*minAppendTime, min(entries*took, maxAppendSpacing))
 }
 
-// discardJob drops an ended job from the streams, while the log takes values. If that
-// fails, the next leader does it.
-func (e *Entry) discardJob(d keeper.Discard) {
+// discard drops the records of an ended job from the streams. What fails is left to the
+// next attempt, of this leader or of a later one.
+func (e *Entry) discard(d keeper.Discard) {
 	e.group.Go(func() error {
-		for wait := 0; e.journal.Outage() > 0 && wait < discardWaits && e.ctx.Err() == nil; wait++ {
-			timer.Sleep(e.ctx, discardPause+time.Duration(rand.Int64N(int64(discardPause))))
-		}
 		ctx, cancel := context.WithTimeout(e.ctx, discardTimeout)
 		defer cancel()
-		err := e.journal.Add(ctx, replicator.Value{Name: string(d.Job)})
-		if err == nil && d.InRuns {
-			err = e.discardFromRuns(ctx, d.Job)
+		var group errgroup.Group
+		for _, name := range d.FromJobs {
+			group.Go(func() error { return e.journal.Drop(ctx, name) })
 		}
-		if err != nil {
-			e.logger.WithField("job", string(d.Job)).WithError(err).Info("dropping an ended job from the log failed; left to the next leader")
+		if len(d.FromRuns) > 0 {
+			group.Go(func() error { return e.dropFromRuns(ctx, d.FromRuns) })
+		}
+		if err := group.Wait(); err != nil {
+			e.logger.WithField("job", string(d.Job)).WithError(err).Info("dropping an ended job from the log failed; to be repeated")
 		}
 		return nil
 	})
 }
 
-// discardFromRuns drops an ended job and its cancellation from the stream of runs.
-func (e *Entry) discardFromRuns(ctx context.Context, id ledger.ID) error {
-	values := []replicator.Value{{Name: keeper.FallbackName(string(id))}, {Name: keeper.FallbackName(keeper.CancelName(id))}}
-	_, err := e.ports.Platform.Append(ctx, replicator.Append{Stream: keeper.Runs, Values: values})
-	return err
+// dropFromRuns drops records of jobs from the stream of runs, which a leader does not read.
+func (e *Entry) dropFromRuns(ctx context.Context, names []string) error {
+	values := make([]replicator.Value, len(names))
+	for i, name := range names {
+		values[i].Name = name
+	}
+	position, err := e.ports.Platform.Append(ctx, replicator.Append{Stream: keeper.Runs, Values: values})
+	if err != nil {
+		return errors.Wrap(err, "drop from the stream of runs")
+	}
+	for i := range values {
+		values[i].Name, _ = keeper.SplitFallback(values[i].Name)
+		values[i].Offset = position.First + int64(i)
+	}
+	e.submitJobs(values, true)
+	return nil
 }
 
 // fallback returns where to write accepted jobs while the stream of jobs refuses
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -63,7 +63,7 @@
 			e.performForLeader(c, f.Effect)
 		}
 	case keeper.Discard:
-		e.discardJob(f)
+		e.discard(f)
 	case keeper.Expire:
 		if c := e.activeAt(e.controller.Snapshot().Lead().Epoch); c != nil {
 			c.recorder.Expire(f.Job)
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -31,6 +31,7 @@
 	appendTime   time.Duration        // how long a stream takes for an append, one at a time
 	freeAt       map[string]time.Time // when a stream has taken all its appends
 	refused      int                  // appends that were refused as too much waited
+	down         map[string]bool      // streams that refuse all appends
 }
 
 // answer is the position of an append of a writer, whose repeat gets it again.
@@ -53,7 +54,7 @@
 	if l.changed == nil {
 		l.changed = make(chan struct{})
 		l.streams, l.epochs, l.next = map[string][]replicator.Value{}, map[writer]int64{}, map[writer]int64{}
-		l.answers, l.freeAt = map[writer][]answer{}, map[string]time.Time{}
+		l.answers, l.freeAt, l.down = map[writer][]answer{}, map[string]time.Time{}, map[string]bool{}
 	}
 }
 
@@ -75,6 +76,14 @@
 	l.appendTime = d
 }
 
+// SetDown sets whether a stream refuses all appends.
+func (l *Log) SetDown(stream string, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare()
+	l.down[stream] = down
+}
+
 // Refused returns how many appends were refused as too much waited.
 func (l *Log) Refused() int {
 	l.mu.Lock()
@@ -88,6 +97,9 @@
 	defer l.mu.Unlock()
 	l.prepare()
 	now := time.Now()
+	if l.down[stream] {
+		return now, &classifier.Error{Kind: classifier.Busy, Call: "append", Reason: "the stream is down"}
+	}
 	if l.appendTime == 0 {
 		return now, nil
 	}
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -41,8 +41,11 @@
 	if e.Next >= 0 {
 		t.lastJobsRead = t.now
 	}
+	if e.Snapshot && t.role != Leading {
+		t.forgetMissing(e.Changes, false, e.Next)
+	}
 	for _, c := range e.Changes {
-		if !e.Snapshot && c.Offset < known {
+		if !e.Snapshot && !c.InRuns && c.Offset < known {
 			continue
 		}
 		t.applyJobChange(c)
@@ -56,26 +59,27 @@
 // job counts; later ones are duplicates.
 func (t *transition) applyJobChange(c JobChange) {
 	id := string(c.ID)
-	p, begun := t.progress.Get(id)
-	if c.InRuns && !c.Dropped {
-		t.inRuns = t.inRuns.With(id, true)
+	if c.Dropped {
+		t.dropCopy(c)
+		return
 	}
+	known, _ := t.copies.Get(id)
+	isNew := known.With(c) != known
+	if isNew {
+		t.setCopies(id, known.With(c))
+	}
+	p, begun := t.progress.Get(id)
 	switch {
-	case c.Dropped && c.Cancel:
-		t.cancels = t.cancels.Without(id)
-	case c.Dropped:
-		t.jobs = t.jobs.Without(id)
-		t.cancels = t.cancels.Without(id)
+	case begun && p.Terminated():
+		if t.role == Leading && isNew {
+			t.discardJob(c.ID)
+		}
 	case c.Cancel:
 		t.cancels = t.cancels.With(id, true)
 		if t.role == Leading {
 			t.applyToLeader(leader.CancelAccepted{Job: c.ID})
 		}
 	case c.Job == nil || t.jobs.Has(id):
-	case begun && p.Terminated():
-		if t.role == Leading {
-			t.discardJob(c.ID)
-		}
 	default:
 		t.jobs = t.jobs.With(id, *c.Job)
 		if t.role == Leading {
@@ -87,14 +91,6 @@
 	}
 }
 
-// discardJob drops an ended job from each stream that it was written to.
-func (t *transition) discardJob(id ledger.ID) {
-	t.emit(Discard{Job: id, InRuns: t.inRuns.Has(string(id))})
-	t.jobs = t.jobs.Without(string(id))
-	t.cancels = t.cancels.Without(string(id))
-	t.inRuns = t.inRuns.Without(string(id))
-}
-
 func (e RunsRead) apply(t *transition) {
 	known := t.Offset(Runs)
 	if t.role == Leading {
@@ -109,6 +105,9 @@
 	if known < 0 {
 		t.lastHeartbeat = t.now
 	}
+	if e.Snapshot {
+		t.forgetMissing(e.jobChanges(), true, e.Next)
+	}
 	for _, c := range e.Changes {
 		if e.Snapshot || c.Offset >= known {
 			t.applyRunChange(c, known < 0)
@@ -246,6 +245,7 @@
 			t.resign(true)
 			return
 		}
+		t.retryDiscards()
 		t.expireJobs()
 		t.applyToLeader(leader.Ticked{Sent: e.Sent})
 	case Following:
@@ -303,12 +303,16 @@
 	return t.leaderSteppedDown || t.State.lead.Name == "" || t.State.lead.Name == t.Self.Name
 }
 
-// expireJobs drops the state of jobs that ended longer ago than the retention.
+// expireJobs drops the state of jobs that ended longer ago than the retention and that no
+// stream has any more: a leader that read such a job without its state would run it again.
 func (t *transition) expireJobs() {
 	for id, at := range t.endedAt.From(0) {
 		if t.now.Sub(time.UnixMilli(at)) < t.policy.Retention {
 			return
 		}
+		if t.copies.Has(id) {
+			continue
+		}
 		t.endedAt = t.endedAt.Without(id)
 		t.emit(Expire{ledger.ID(id)})
 	}
@@ -345,7 +349,6 @@
 		accepted := leader.Accepted{Job: job}
 		if p, ok := t.progress.Get(id); ok {
 			if p.Terminated() {
-				t.discardJob(job.ID)
 				continue
 			}
 			accepted.Progress = &p
@@ -355,6 +358,7 @@
 			t.applyToLeader(leader.CancelAccepted{Job: job.ID})
 		}
 	}
+	t.discardEnded()
 }
 
 func (e Deposed) apply(t *transition) {
@@ -397,7 +401,7 @@
 	}
 	for _, c := range e.Changes {
 		t.setProgress(c)
-		if c.Progress != nil && c.Progress.Terminated() && t.jobs.Has(string(c.ID)) {
+		if c.Progress != nil && c.Progress.Terminated() {
 			t.discardJob(c.ID)
 		}
 	}
--- a/internal/keeper/effects.go
+++ b/internal/keeper/effects.go
@@ -41,10 +41,12 @@
 	Effect leader.Effect
 }
 
-// Discard drops a job that has ended from the stream of jobs.
+// Discard drops the records of a job that has ended from the streams that have them. It is
+// emitted again until the changes show that they were dropped.
 type Discard struct {
-	Job    ledger.ID
-	InRuns bool // drop it from the stream of runs, too
+	Job      ledger.ID
+	FromJobs []string // names in the stream of jobs
+	FromRuns []string // names in the stream of runs
 }
 
 // Expire drops the state of a job that ended long ago.
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -14,10 +14,10 @@
 type JobChange struct {
 	Offset  int64
 	ID      ledger.ID
-	Job     *ledger.Job // nil for a cancellation or when the name was dropped
+	Job     *ledger.Job // nil for a cancellation, when the name was dropped, or if the job was known before
 	Cancel  bool        // the record cancels the job
 	Dropped bool        // the name was dropped
-	InRuns  bool        // it is in the stream of runs, since that of jobs refused it
+	InRuns  bool        // it is in the stream of runs, since that of jobs refused it; Offset is one of that stream
 }
 
 // JobsRead reports changes of the stream of jobs.
@@ -46,6 +46,17 @@
 	Snapshot bool  // the newest values of all names instead of changes
 }
 
+// jobChanges returns the changes that the stream of jobs refused.
+func (e RunsRead) jobChanges() []JobChange {
+	var changes []JobChange
+	for _, c := range e.Changes {
+		if c.Job != nil {
+			changes = append(changes, *c.Job)
+		}
+	}
+	return changes
+}
+
 // ReadFailed reports that the stream of runs could not be read.
 type ReadFailed struct{}
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -90,7 +90,8 @@
 	jobs     container.Table[ledger.Job]
 	progress container.Table[ledger.Progress]
 	cancels  container.Table[bool]
-	inRuns   container.Table[bool]  // jobs that are in the stream of runs
+	copies   container.Table[copies]
+	discards container.Ranking      // ended jobs with copies by the next attempt to drop them, Unix milliseconds
 	endedAt  container.Ranking      // ended jobs by when their end was read, Unix milliseconds
 	offsets  container.Table[int64] // offset of the next read, by stream
 
--- a/internal/keeper/standby.go
+++ b/internal/keeper/standby.go
@@ -92,7 +92,8 @@
 // forgetReplica forgets what was read of both streams.
 func (t *transition) forgetReplica() {
 	empty := State{}
-	t.jobs, t.progress, t.cancels, t.inRuns, t.endedAt, t.offsets = empty.jobs, empty.progress, empty.cancels, empty.inRuns, empty.endedAt, empty.offsets
+	t.jobs, t.progress, t.cancels, t.endedAt, t.offsets = empty.jobs, empty.progress, empty.cancels, empty.endedAt, empty.offsets
+	t.copies, t.discards = empty.copies, empty.discards
 	t.lastRead, t.lastJobsRead, t.leases = time.Time{}, time.Time{}, leases{}
 }
 
