Void orders and calls from before a silence of their worker

Cause: nothing bounds how long an order waits for a slot, and before it is sent nobody looked whether the worker had been silent since; calls that were sent stayed valid, as leases were renewed with the fence of before. Change: an order names the last silence that the leader knew of and is void after a later one; those that wait are answered as not sent when a poll fails. After a silence leases are renewed only once the worker has answered a poll with a higher fence than all calls before, which it refuses from then on. So a run that is given up can't be started while leases are in force there.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -12,6 +12,13 @@
 //   - A call without an answer may be executed later, whoever is there by then. A new
 //     incarnation is accepted, so that work can start there, once it has answered a poll
 //     with a higher fence than all calls to earlier ones, which it refuses from then on.
+//
+// A worker that was silent may be the same incarnation as before, and the leader may have
+// given up the runs there. Two more rules keep their starts from being executed:
+//
+//   - Orders that wait are withdrawn as soon as a poll gets no answer, and answered as not sent.
+//   - Leases are renewed again once the worker has answered a poll with a higher fence than
+//     all calls before the silence, which it refuses from then on.
 package commander
 
 import (
@@ -106,7 +113,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	s := &workerState{address: e.Address, cancel: cancel, silence: leader.FirstSilence(e.Watch), orderSlots: make(chan struct{}, maxOrdersPerWorker), ackChanged: make(chan struct{}, 1)}
+	s := &workerState{address: e.Address, cancel: cancel, silence: leader.FirstSilence(e.Watch), orderSlots: make(chan struct{}, maxOrdersPerWorker), withdrawn: make(chan struct{}), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
 	s.fence = max(c.floor, e.Floor)
 	c.states[e.Worker] = s
@@ -179,25 +186,29 @@
 	return max(c.Epoch, c.Fence())
 }
 
-// target returns the target of a call on a line that tells no values. The caller holds
+// pollTarget returns the target of a poll on a line that tells no values. The caller holds
 // the lock of the worker's state.
-func (c *Commander) target(worker string, s *workerState, l *line) Target {
+func (c *Commander) pollTarget(worker string, s *workerState, l *line) Target {
 	to := Target{Worker: worker, Address: l.address, Fence: s.fence}
-	if !s.heard {
+	switch {
+	case !s.heard:
 		to.Fence = c.fence()
-	} else if !s.usable(l) {
+	case !s.fencedOff():
+		to.Fence = max(s.fence, s.raisedTo, c.fence())
+		s.raisedTo = to.Fence
+	case !s.usable(l):
 		to.Fence = max(s.fence, s.raisedTo)
 	}
 	return to
 }
 
 // renewal returns values that renew leases. Leases are renewed once the leader has heard
-// the worker, and as long as the worker answers and the log confirms the leader: the leases
+// the worker, which refuses the calls from before its last silence, and as long as the worker answers and the log confirms the leader: the leases
 // of a silent worker must be able to lapse, and whoever leads next may rely on what this
 // leader knows of them. The caller holds the lock of the worker's state.
 func (c *Commander) renewal(s *workerState, now time.Time) Values {
 	v := ValuesFor(s.incarnation)
-	if s.closed || s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silence || !c.permitted(now) {
+	if s.closed || s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silence || !s.fencedOff() || !c.permitted(now) {
 		return v
 	}
 	s.leaseDeadline = max(s.leaseDeadline, s.clock+leader.LeastProgress(now.Sub(s.clockReadAt)).Milliseconds()+c.Lease.Milliseconds())
--- /dev/null
+++ b/internal/commands/commander/given_up_test.go
@@ -0,0 +1,127 @@
+package commander_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/endivelock/endivelock/internal/leader"
+)
+
+// slots is how many orders to a worker are in progress at a time.
+const slots = 2
+
+// cutScript is a worker that is cut off while starts are sent to it.
+type cutScript struct {
+	fates  []fate          // of the calls from the cut on; what is sent in it arrives after it, or never
+	pauses []time.Duration // before each start, the first right before the cut
+	before time.Duration   // from the worker's first report to the starts
+	cut    time.Duration
+	after  []time.Duration // before each start after the cut
+}
+
+func drawCutScript(t *rapid.T) cutScript {
+	pause := rapid.Custom(func(t *rapid.T) time.Duration {
+		return duration(t, "pause", 0, rapid.SampledFrom([]time.Duration{0, shortPause, longPause}).Draw(t, "most"))
+	})
+	return cutScript{
+		fates:  rapid.SliceOfN(rapid.Custom(drawFate), 0, 100).Draw(t, "fates"),
+		pauses: rapid.SliceOfN(pause, 1, 60).Draw(t, "pauses"),
+		before: duration(t, "before", 100*time.Millisecond, 3*time.Second),
+		cut:    duration(t, "cut", 500*time.Millisecond, 10*time.Second),
+		after:  rapid.SliceOfN(pause, 0, 10).Draw(t, "after"),
+	}
+}
+
+// Guards against starts that a worker executes after the leader has given up their runs and may
+// have started the tasks elsewhere (review/6: the start was on its way; review/7: it
+// still waited for its turn).
+func TestNoRunThatWasGivenUpIsStarted(t *testing.T) {
+	for range rounds {
+		rapid.Check(t, func(rt *rapid.T) {
+			s := drawCutScript(rt)
+			var m *model
+			synctest.Test(t, func(*testing.T) { m = playCut(s) })
+			assert.DeepEqual(rt, m.broken, []string(nil))
+		})
+	}
+}
+
+// playCut plays a script, and then a calm time after which an order must be executed.
+func playCut(s cutScript) *model {
+	ctx, cancel := context.WithCancel(context.Background())
+	m, f := newModel(ctx)
+	m.givenUp = map[int]bool{}
+	defer f.commander.Wait()
+	defer cancel()
+	time.Sleep(s.before)
+	for i, pause := range s.pauses {
+		time.Sleep(pause)
+		f.order()
+		if i == 0 {
+			m.setFates(s.fates)
+			m.cutOff(s.cut)
+		}
+	}
+	time.Sleep(s.cut)
+	for _, pause := range s.after {
+		time.Sleep(pause)
+		f.order()
+	}
+	time.Sleep(calm)
+	m.setFates(nil)
+	time.Sleep(calm)
+	before := f.executed()
+	f.order()
+	time.Sleep(time.Second)
+	if f.executed() != before+1 {
+		m.violate("an order in a calm cell is not executed")
+	}
+	return m
+}
+
+// What can't be sent to a silent worker is answered at once: its tasks need not wait for the
+// leases there to expire.
+func TestOrdersThatWaitForASilentWorkerAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m, f := newModel(ctx)
+		defer f.commander.Wait()
+		defer cancel()
+		time.Sleep(time.Second)
+		m.cutOff(time.Minute)
+		const orders = 40
+		for range orders {
+			f.order()
+		}
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		notSent := f.notSent
+		f.mu.Unlock()
+		assert.Assert(t, notSent >= orders-2*slots, "%d of %d orders were answered as not sent", notSent, orders)
+	})
+}
+
+// Orders that wait for a worker that has another caller now are not sent.
+func TestOrdersOfAnEarlierCallerAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m, f := newModel(ctx)
+		defer f.commander.Wait()
+		defer cancel()
+		time.Sleep(time.Second)
+		m.cutOff(300 * time.Millisecond)
+		for range 10 {
+			f.order()
+		}
+		f.commander.Unwatch(leader.StopPolling{Worker: "w"})
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Assert(t, f.notSent >= 10-slots, "%d of 10 orders were answered as not sent", f.notSent)
+	})
+}
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -14,9 +14,12 @@
 const (
 	callTimeout = 600 * time.Millisecond
 	workTime    = 50 * time.Millisecond
-	lease       = 6 * time.Second
-	longestHold = 10 * time.Second // longest lease that the worker grants
-	longUptime  = time.Hour        // of the first incarnation
+	// latestArrival bounds the time from the end of a cut to the arrival of a call that was
+	// sent before.
+	latestArrival = 3 * time.Second
+	lease         = 6 * time.Second
+	longestHold   = 10 * time.Second // longest lease that the worker grants
+	longUptime    = time.Hour        // of the first incarnation
 )
 
 // fate is what becomes of a call.
@@ -53,10 +56,22 @@
 	mu      sync.Mutex
 	current *incarnation // nil while it is down
 	lives   []*incarnation
-	fates   []fate // of the next calls; further ones are executed and answered
+	fates   []fate       // of the next calls; further ones are executed and answered
+	cutEnd  time.Time    // until then no call arrives and no answer leaves
+	givenUp map[int]bool // runs that the leader has given up; nil if it gives none up
 	broken  []string
 }
 
+// cut reports whether the worker is cut off. The caller holds the lock.
+func (m *model) cut() bool { return time.Now().Before(m.cutEnd) }
+
+// cutOff cuts the worker off for a time.
+func (m *model) cutOff(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cutEnd = time.Now().Add(d)
+}
+
 func (m *model) begin(uptime time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -141,6 +156,12 @@
 	m := c.model
 	m.mu.Lock()
 	f := m.nextFate()
+	if m.cut() {
+		f.executed, f.answered = false, false
+		if f.again > 0 {
+			f.again = time.Until(m.cutEnd) + f.again%latestArrival
+		}
+	}
 	if m.current == to && f.executed {
 		err = apply(to, to)
 	}
@@ -180,6 +201,12 @@
 		}
 	}
 	c.model.mu.Lock()
+	cut := c.model.cut()
+	c.model.mu.Unlock()
+	if cut {
+		return leader.Report{}, c.unanswered(ctx, at)
+	}
+	c.model.mu.Lock()
 	defer c.model.mu.Unlock()
 	r := leader.Report{Incarnation: at.number, Clock: at.clock(), Ended: at.ends}
 	for run := range at.running {
@@ -233,6 +260,12 @@
 			m.violate("incarnation %d receives an order for %d with the values of %d", at.number, o.Incarnation, to.Values.Incarnation())
 		}
 		at.lease = max(at.lease, min(to.Values.Deadline(), at.clock()+longestHold.Milliseconds()))
+		if m.givenUp != nil && at.lease <= at.clock() {
+			return nil // without a lease the run is killed at once
+		}
+		if m.givenUp[o.Run] {
+			m.violate("run %d starts after it was given up", o.Run)
+		}
 		at.direct[o.Run] = at.direct[o.Run] || at == sentTo
 		at.running[o.Run] = true
 		time.AfterFunc(workTime, func() { m.finish(at, o.Run) })
@@ -282,17 +315,40 @@
 	known     int64 // the incarnation that was reported last
 	ordered   int
 	done      int // executed orders
+	silent    bool
+	silence   int64        // the last one that was told
+	open      map[int]bool // orders that were not answered
+	notSent   int
+}
+
+// giveUp gives up the runs at a silent worker whose leases have expired, as a leader does. The
+// caller holds both locks.
+func (f *follower) giveUp(at *incarnation) {
+	if f.model.givenUp == nil || !f.silent || at.clock() <= max(at.told, at.first+lease.Milliseconds()) {
+		return
+	}
+	for run := range f.open {
+		f.model.givenUp[run] = true
+	}
 }
 
 // order sends a start to the incarnation that was heard last, if any.
 func (f *follower) order() {
 	f.mu.Lock()
-	known := f.known
+	if f.model.givenUp != nil && f.silent {
+		f.mu.Unlock()
+		return // a leader has nothing started at a silent worker
+	}
+	known, silence := f.known, f.silence
 	f.ordered++
 	run := f.ordered
+	if f.open == nil {
+		f.open = map[int]bool{}
+	}
+	f.open[run] = true
 	f.mu.Unlock()
 	if known != 0 {
-		f.commander.Order(leader.Order{Worker: "w", Incarnation: known, Kind: leader.OrderStart, Run: run})
+		f.commander.Order(leader.Order{Worker: "w", Incarnation: known, Silence: silence, Kind: leader.OrderStart, Run: run})
 	}
 }
 
@@ -320,6 +376,8 @@
 		if !at.accepted {
 			at.accepted, at.first = true, e.Report.Clock
 		}
+		f.giveUp(at)
+		f.silent = false
 		f.known = max(f.known, at.number)
 		at.told = max(at.told, e.Deadline)
 		if e.Deadline > at.clock()+lease.Milliseconds() {
@@ -329,6 +387,7 @@
 			at.read[end.Number] = true
 			f.commander.Acknowledge(leader.Acknowledge{Worker: "w", Incarnation: at.number, Number: end.Number})
 		}
+		f.silence = max(f.silence, e.Silence)
 		if e.Silence != 0 {
 			f.commander.Renew(leader.Renew{Worker: "w", Silence: e.Silence})
 		}
@@ -336,8 +395,16 @@
 		if e.Incarnation != 0 {
 			at := f.model.lives[e.Incarnation-1]
 			at.told = max(at.told, e.Deadline)
+			f.silent, f.silence = true, max(f.silence, e.Silence)
+			f.giveUp(at)
 		}
 	case leader.OrderAnswered:
+		if e.Outcome != leader.OutcomeUnknown {
+			delete(f.open, e.Run)
+		}
+		if e.Outcome == leader.NotSent {
+			f.notSent++
+		}
 		if e.Outcome == leader.Executed {
 			f.done++
 		}
--- a/internal/commands/commander/orders.go
+++ b/internal/commands/commander/orders.go
@@ -13,52 +13,78 @@
 // errNotSent marks the errors of orders that were not sent.
 var errNotSent = errors.New("order was not sent")
 
-// orderTarget returns the target of an order on a line, or false if the incarnation that the
-// order is for has not answered there, or another one has been heard since. Orders don't
+// errWithdrawn is the error of orders that were given up while they waited: the leader gives
+// up the runs at a worker that stays silent, and may have done so.
+var errWithdrawn = errors.Mark(errors.New("the worker has been silent, or has another caller, since the order was given"), errNotSent)
+
+// queuedOrder is an order and the last silence of the worker before it was given.
+type queuedOrder struct {
+	leader.Order
+	silence int64
+}
+
+// orderTarget returns the target of an order on a line. Its error is that of an order that must
+// not be sent: the worker has been silent since the order was given, the incarnation that the
+// order is for has not answered on the line, or another one has been heard since. Orders don't
 // extend leases beyond the deadline that polls have sent, so that the leader knows when
 // they lapse. Only an order that comes before the first such deadline sets one.
-func (c *Commander) orderTarget(s *workerState, l *line, o leader.Order, now time.Time) (Target, bool) {
+func (c *Commander) orderTarget(s *workerState, l *line, o queuedOrder, now time.Time) (Target, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation {
-		return Target{}, false
+	switch {
+	case s.closed || s.silence != o.silence:
+		return Target{}, errWithdrawn
+	case !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation:
+		return Target{}, errors.Mark(errors.Newf("incarnation %d has not answered last", o.Incarnation), errNotSent)
 	}
-	to := c.target(o.Worker, s, l)
+	to := Target{Worker: o.Worker, Address: l.address, Fence: s.fence}
 	if s.leaseDeadline == 0 {
 		to.Values = c.renewal(s, now)
 	} else {
 		to.Values = ValuesFor(s.incarnation).WithDeadline(s.leaseDeadline)
 	}
-	return to, true
+	return to, nil
 }
 
 // Order sends an order and submits its outcome. Orders beyond
-// maxOrdersPerWorker wait.
+// maxOrdersPerWorker wait, as long as the worker answers polls.
 func (c *Commander) Order(o leader.Order) {
 	s, ok := c.state(o.Worker)
 	if !ok {
 		c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: leader.Refused})
 		return
 	}
+	silence, withdrawn, valid := s.queue(o)
 	c.group.Go(func() error {
+		if !valid {
+			c.answerOrder(o, errWithdrawn)
+			return nil
+		}
 		select {
 		case s.orderSlots <- struct{}{}:
+			defer func() { <-s.orderSlots }()
+			c.answerOrder(o, c.sendOrder(s, queuedOrder{o, silence}))
+		case <-withdrawn:
+			c.answerOrder(o, errWithdrawn)
 		case <-c.ctx.Done():
-			return nil
 		}
-		defer func() { <-s.orderSlots }()
-		c.sendOrder(s, o)
 		return nil
 	})
 }
 
-func (c *Commander) sendOrder(s *workerState, o leader.Order) {
+// sendOrder sends an order and returns the error that tells its outcome.
+func (c *Commander) sendOrder(s *workerState, o queuedOrder) error {
 	began := time.Now()
 	kept, err := c.tryOrder(s, o)
 	for kept && classifier.Is(err, classifier.Unsent) {
 		kept, err = c.tryOrder(s, o) // the line had broken off since its last call
 	}
 	c.Orders.UpdateSince(began)
+	return err
+}
+
+// answerOrder submits the outcome of an order.
+func (c *Commander) answerOrder(o leader.Order, err error) {
 	if c.ctx.Err() != nil {
 		return
 	}
@@ -72,7 +98,7 @@
 
 // tryOrder sends an order on a line on which the incarnation that it is for has answered. It
 // reports whether the line had been used before.
-func (c *Commander) tryOrder(s *workerState, o leader.Order) (bool, error) {
+func (c *Commander) tryOrder(s *workerState, o queuedOrder) (bool, error) {
 	l := s.take(c.Workers)
 	kept := l.answered
 	if !kept {
@@ -85,12 +111,12 @@
 		s.release(l)
 		return kept, errors.Mark(errors.New("the leader has not been confirmed for too long"), errNotSent)
 	}
-	to, ok := c.orderTarget(s, l, o, now)
-	if !ok {
+	to, err := c.orderTarget(s, l, o, now)
+	if err != nil {
 		s.release(l)
-		return kept, errors.Mark(errors.Newf("incarnation %d has not answered last", o.Incarnation), errNotSent)
+		return kept, err
 	}
-	err := l.Order(c.ctx, to, o)
+	err = l.Order(c.ctx, to, o.Order)
 	if err == nil || classifier.NotExecuted(err) && !classifier.Is(err, classifier.Unsent) {
 		s.release(l)
 	} else {
--- a/internal/commands/commander/polls.go
+++ b/internal/commands/commander/polls.go
@@ -68,9 +68,10 @@
 }
 
 // pollOn polls a worker on a line, which it closes if that fails. It does not wait for the
-// end of a run before an incarnation has answered on the line.
+// end of a run before an incarnation has answered on the line, or if the answer lets leases be
+// renewed.
 func (c *Commander) pollOn(ctx context.Context, worker string, s *workerState, l *line, wait time.Duration) error {
-	if !l.answered {
+	if !l.answered || s.awaitsFence(c.fence) {
 		wait = 0
 	}
 	a, report, err := c.ask(ctx, worker, s, l, wait)
@@ -134,6 +135,7 @@
 	}
 	if deadline, silence, missed := s.recordMiss(a.heard); missed {
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline, Silence: silence})
+		s.endSilence()
 	}
 }
 
@@ -142,7 +144,7 @@
 func (c *Commander) pollAttempt(worker string, s *workerState, l *line, now time.Time) attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := attempt{to: c.target(worker, s, l), heard: s.incarnation, sent: now}
+	a := attempt{to: c.pollTarget(worker, s, l), heard: s.incarnation, sent: now}
 	if s.usable(l) {
 		a.to.Values = c.renewal(s, now).WithAcked(s.acked)
 	}
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -20,11 +20,13 @@
 	closed       bool          // the worker is not watched any more
 	ackChanged   chan struct{} // signaled when acked or renewedIn changes
 	unanswered   bool          // the last poll got no answer
+	fencedIn     int64         // the silence after which the worker was shown a fence above those of all calls before
 	silence      int64         // number of the last silence, one more each time that a poll gets no answer
 	renewedIn    int64         // the silence after which the leader had the leases renewed
 	fullReportAt time.Time     // when running tasks were last reported
 	cancel       context.CancelFunc
 	orderSlots   chan struct{}
+	withdrawn    chan struct{} // closed once the orders that wait are withdrawn
 }
 
 // life is what is known of one incarnation and means nothing to another one.
@@ -56,9 +58,45 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	s.closeIdle()
+	s.withdrawOrders()
 	return s.fence
 }
 
+// withdrawOrders has the orders that wait given up. The caller holds the lock.
+func (s *workerState) withdrawOrders() {
+	close(s.withdrawn)
+	s.withdrawn = make(chan struct{})
+}
+
+// endSilence withdraws the orders that have waited since before a silence, once the leader was
+// told of it.
+func (s *workerState) endSilence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawOrders()
+}
+
+// queue returns what an order that is about to wait depends on: the last silence, and the
+// channel that is closed if the order is withdrawn. It reports false if the worker has been
+// silent since the leader gave the order.
+func (s *workerState) queue(o leader.Order) (silence int64, withdrawn <-chan struct{}, valid bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silence, s.withdrawn, !leader.SilentSince(o.Silence, s.silence)
+}
+
+// fencedOff reports whether the worker refuses all calls from before its last silence. The
+// caller holds the lock.
+func (s *workerState) fencedOff() bool { return s.fencedIn == s.silence }
+
+// awaitsFence reports whether leases are renewed as soon as the worker answers a poll that has
+// it refuse the calls from before its last silence.
+func (s *workerState) awaitsFence(fence func() int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.fencedOff() && s.renewedIn == s.silence && fence() > s.fence
+}
+
 // signal wakes awaitLeader. The caller holds the lock.
 func (s *workerState) signal() {
 	select {
@@ -148,7 +186,9 @@
 		s.heard, s.life = true, life{incarnation: r.Incarnation}
 		s.closeIdle()
 	}
-	s.fence = max(s.fence, a.to.Fence)
+	if a.to.Fence > s.fence {
+		s.fence, s.fencedIn = a.to.Fence, s.silence
+	}
 	for _, e := range r.Ended {
 		s.lastEnd = max(s.lastEnd, e.Number)
 	}
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -291,7 +291,7 @@
 	}
 	t.putPlacement(w, p.WithStage(StartSent).WithSent(t.now))
 	t.emit(Order{
-		Worker: w.ID, Address: w.Address, Incarnation: p.Incarnation, Kind: OrderStart, Task: p.Task, Run: p.Run,
+		Worker: w.ID, Address: w.Address, Incarnation: p.Incarnation, Silence: w.Silence, Kind: OrderStart, Task: p.Task, Run: p.Run,
 		Spec: job.Job.Spec, Checkpoint: job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Checkpoint, Ticket: p.Ticket,
 	})
 }
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -40,6 +40,7 @@
 	Worker       string
 	Address      string
 	Incarnation  int64 // the only one that the order is for, 0 if none was heard
+	Silence      int64 // the last one that the leader knows of; the order is void after a later one
 	Kind         OrderKind
 	Task         ledger.TaskID
 	Run          int
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -83,6 +83,12 @@
 // answer has the next one, so that numbers rise over all callers of a worker.
 func FirstSilence(watch int64) int64 { return watch<<silenceBits | 1 }
 
+// SilentSince reports whether a caller has had a silence after the known one. Nothing follows
+// from one of an earlier caller, or from 0.
+func SilentSince(known, last int64) bool {
+	return known != 0 && watchOf(known) == watchOf(last) && known < last
+}
+
 // watchOf returns the number of the watch of whoever has numbered a silence.
 func watchOf(silence int64) int64 { return silence >> silenceBits }
 
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// An order is void once its worker has been silent (review/7), which its caller can tell only by
+// the last silence that the leader knew of.
+func TestOrdersNameTheLastSilenceOfTheirWorker(t *testing.T) {
+	h := startedRun(t)
+	assert.Equal(t, h.orders[0].Silence, leader.FirstSilence(0))
+	h.apply(leader.PollFailed{Worker: "w00", Incarnation: 1})
+	h.report("w00")
+	h.submit("other", ledger.Queue{Priority: 1}, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}})
+	h.apply(leader.CancelAccepted{Job: "j"})
+	assert.Equal(t, len(h.orders), 3)
+	for _, o := range h.orders[1:] {
+		assert.Equal(t, o.Silence, leader.FirstSilence(0)+1, "%s", o.Kind)
+	}
+	assert.Assert(t, leader.SilentSince(h.orders[0].Silence, h.orders[1].Silence))
+	assert.Assert(t, !leader.SilentSince(h.orders[1].Silence, leader.FirstSilence(1)), "an earlier caller's silence")
+}
+
 // Guards against runs that are given up an hour late: a poll of an earlier incarnation that
 // failed after the later one had reported left a deadline on the clock of the earlier one.
 func TestAFailedPollOfAnEarlierIncarnationSaysNothing(t *testing.T) {
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -88,7 +88,7 @@
 
 // order returns an order about a run for the incarnation that was reported last.
 func (w Worker) order(kind OrderKind, p Placement) Order {
-	return Order{Worker: w.ID, Address: w.Address, Incarnation: w.ReportedIncarnation, Kind: kind, Task: p.Task, Run: p.Run}
+	return Order{Worker: w.ID, Address: w.Address, Incarnation: w.ReportedIncarnation, Silence: w.Silence, Kind: kind, Task: p.Task, Run: p.Run}
 }
 
 // WithListing returns the worker with listing l, seen at time now.
--- a/internal/packer/commands.go
+++ b/internal/packer/commands.go
@@ -62,6 +62,7 @@
 	w.name(o.Worker)
 	w.name(o.Address)
 	w.number(o.Incarnation)
+	w.number(o.Silence)
 	w.name(string(o.Kind))
 	w.task(o.Task)
 	w.number(int64(o.Run))
@@ -109,7 +110,7 @@
 
 func (r *reader) order() *leader.Order {
 	return &leader.Order{
-		Worker: r.name(), Address: r.name(), Incarnation: r.number(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(),
+		Worker: r.name(), Address: r.name(), Incarnation: r.number(), Silence: r.number(), Kind: leader.OrderKind(r.name()), Task: r.task(), Run: r.integer(),
 		Spec: r.name(), Checkpoint: r.name(), Ticket: r.text(), SpeedPercent: r.integer(),
 	}
 }
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -22,7 +22,7 @@
 	c := delegator.Commands{Epoch: 7, Session: 2, Lease: 3 * time.Second, Fence: 40}
 	for i := range n {
 		c.List = append(c.List, delegator.Command{Order: &leader.Order{
-			Worker: fmt.Sprintf("w%d", i), Address: "10.0.0.1:80", Incarnation: 1 << 41, Kind: leader.OrderStart, Task: task(i), Run: 2, Spec: "a spec of some length", Ticket: "t",
+			Worker: fmt.Sprintf("w%d", i), Address: "10.0.0.1:80", Incarnation: 1 << 41, Silence: 1<<24 | 1, Kind: leader.OrderStart, Task: task(i), Run: 2, Spec: "a spec of some length", Ticket: "t",
 		}})
 	}
 	return c
