Renew leases without the log for half as long, and to the end

Cause: the next leader counts 5 s in which the last one may have renewed leases without the log, and a lease of 6.1 s on the slowest clock; the rule leaves 10 s from the last disruption on. The 5 s were that long since a poll may wait for 2 s, so that leases lasted for only 9 of the 11.1 s. Change: the leader renews for 2.5 s, its deputies for 1.25 s of them, and all leases once more right before that is over; the record of leases tells both, so that what leaders of earlier versions may have renewed is still counted with 5 s. With a lease that outlasts a log that is down for 6 s and the 2 s of the recorder's next attempt, and 8.6 s leave 1.4 s to place the tasks.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 	ackWait = time.Second
 	// pollBackoff is the pause after a poll without an answer.
 	pollBackoff = 250 * time.Millisecond
+	// lastRenewal is how long before the leader's confirmation runs out the leases of all
+	// workers are renewed once more. It is enough for two polls of each worker of one caller.
+	lastRenewal = 250 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
 	maxOrdersPerWorker = 2
 	// maxCalls bounds the polls of all workers and their orders, in flight or
@@ -91,6 +95,46 @@
 	c.ctx = ctx
 	c.states = map[string]*workerState{}
 	c.group.SetLimit(maxCalls)
+	c.group.Go(func() error {
+		c.renewInTime(ctx)
+		return nil
+	})
+}
+
+// renewInTime renews all leases right before the leader's confirmation runs out. A poll in
+// flight may have been sent up to pollWait before that, and leases would last that much less while the
+// log is down.
+func (c *Commander) renewInTime(ctx context.Context) {
+	var last time.Time // the last confirmation that ran out
+	for ctx.Err() == nil {
+		confirmed := c.LastConfirmed()
+		wait := c.Renewal - lastRenewal - timer.Elapsed(confirmed, time.Now())
+		if wait <= 0 {
+			wait = lastRenewal
+			if !confirmed.Equal(last) {
+				last = confirmed
+				c.renewAll(ctx)
+			}
+		}
+		timer.Sleep(ctx, wait)
+	}
+}
+
+// renewAll renews the leases of all workers once. A poll on a new line tells no values, so that
+// another one follows it.
+func (c *Commander) renewAll(ctx context.Context) {
+	c.mu.Lock()
+	states := maps.Clone(c.states)
+	c.mu.Unlock()
+	for worker, s := range states {
+		c.group.Go(func() error {
+			if !s.hasLine() && c.poll(ctx, worker, s, 0) != nil {
+				return nil
+			}
+			_ = c.poll(ctx, worker, s, 0)
+			return nil
+		})
+	}
 }
 
 // Wait returns when no call is in flight and no connection is open.
--- a/internal/commands/commander/connections.go
+++ b/internal/commands/commander/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivelock/endivelock/internal/leader"
@@ -61,6 +62,13 @@
 	return l.answered && s.heard && l.incarnation == s.incarnation && l.address == s.address
 }
 
+// hasLine reports whether the current incarnation has answered on an idle line.
+func (s *workerState) hasLine() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.idle, s.usable)
+}
+
 // release keeps a line for later calls.
 func (s *workerState) release(l *line) {
 	s.mu.Lock()
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -42,8 +42,13 @@
 	// fenceWait bounds the wait for a fence above those of earlier callers. It is twice the
 	// time between two heartbeats, with each of which the fence rises.
 	fenceWait = 400 * time.Millisecond
-	// MaxGrant is how long a deputy goes on without a confirmation by the leader.
-	MaxGrant = 2 * time.Second
+	// reportTimeout is how long a deputy may take to report before it counts as lost, and bounds
+	// one batch to the leader.
+	reportTimeout = 2 * time.Second
+	// MaxGrant is how long a deputy goes on without a confirmation by the leader. It is half
+	// of the time for which a leader renews leases without the log: the log has to confirm the
+	// leader within the other half.
+	MaxGrant = 1250 * time.Millisecond
 )
 
 // Entry is a linked entry that can be a deputy.
@@ -347,7 +352,7 @@
 func (d *Delegator) checkReports(p *deputy) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p.workers > 0 && time.Since(p.reported) > MaxGrant {
+	if p.workers > 0 && time.Since(p.reported) > reportTimeout {
 		d.lose(p, "it does not report")
 	}
 }
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -20,8 +20,6 @@
 	// confirmInterval is the longest time between two batches to the leader. Each
 	// answer confirms the deputy; a quarter of MaxGrant leaves room for retries.
 	confirmInterval = MaxGrant / 4
-	// reportTimeout bounds one batch to the leader.
-	reportTimeout = MaxGrant
 )
 
 // errOutdated is the error of commands of an earlier leader or session.
--- a/internal/commands/recorder/recorder.go
+++ b/internal/commands/recorder/recorder.go
@@ -55,6 +55,8 @@
 	End     int64 // end of the stream of runs when the leader had read all that earlier ones wrote
 	Clock   keeper.Clock
 	Leases  leader.Leases // written with the first append
+	Renewal time.Duration // for how long the leader renews leases after LastConfirmed
+	Grant   time.Duration // for how long its deputies go on without it
 	Appends metrics.Timer
 
 	mu       sync.Mutex
@@ -222,7 +224,7 @@
 
 // leasesValue returns the value of the stream of runs for leases.
 func (r *Recorder) leasesValue(l leader.Leases) replicator.Value {
-	v, err := encoder.Leases(keeper.NewLeaseRecord(r.Lead.Epoch, r.Clock, l))
+	v, err := encoder.Leases(keeper.NewLeaseRecord(r.Lead.Epoch, r.Clock, l).WithRenewals(r.Renewal, r.Grant))
 	if err != nil {
 		panic("recorder: leases can't be encoded: " + err.Error())
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -84,8 +84,11 @@
 	// maxClaimJitter bounds the random delay before a claim.
 	maxClaimJitter = 150 * time.Millisecond
 	// renewalWindow is how long a leader renews leases after the log last confirmed
-	// its leadership.
-	renewalWindow = 5 * time.Second
+	// its leadership. With a lease it has to outlast a log that is down, up to 6 s on the
+	// users' platform, and the 2 s until an append succeeds after that. Any more
+	// only delays the tasks of a worker that is lost shortly before its leader: these may be
+	// down for 10 s, of which a lease on a slow clock takes 6.1 s.
+	renewalWindow = 2500 * time.Millisecond
 	// maxLease bounds the leases at workers. The tasks of an unresponsive worker are
 	// restarted elsewhere only after their leases have expired. It is several times
 	// the duration of a takeover.
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -133,7 +133,7 @@
 	logger := e.logger.WithField("epoch", epoch)
 	lead := keeper.LeaderRecord{Epoch: epoch, Name: e.settings.Name, Address: e.settings.Listen.Peers}
 	c := &leaderServices{epoch: epoch, cancel: cancel, workers: map[string]leader.Listing{}}
-	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, End: e.controller.Snapshot().Offset(keeper.Runs), Clock: f.Clock, Leases: f.Leases, Appends: e.metricTimer("append.runs")}
+	c.recorder = &recorder.Recorder{Log: e.relayer, Sink: e.controller, Logger: logger, Lead: lead, End: e.controller.Snapshot().Offset(keeper.Runs), Clock: f.Clock, Leases: f.Leases, Renewal: renewalWindow, Grant: delegator.MaxGrant, Appends: e.metricTimer("append.runs")}
 	c.announcer = &announcer.Announcer{Log: e.relayer, Logger: logger, Lead: lead, Standbys: e.linker.Standbys}
 	c.commander = &commander.Commander{
 		Workers: e.ports.Workers, Sink: epochSink{e}, Logger: logger, Epoch: epoch, Lease: min(e.settings.Lease, maxLease), Renewal: renewalWindow,
--- a/internal/keeper/leases.go
+++ b/internal/keeper/leases.go
@@ -14,8 +14,19 @@
 	Until  map[string]int64 `json:"until,omitempty"`  // bounds of leases at the workers named, which are not renewed
 	// Partial says that the leader doesn't renew the leases at others, either, which it has not named.
 	Partial bool `json:"partial,omitempty"`
+	// Renewal is for how long the leader renews leases after the log has last confirmed it, and
+	// Grant for how long its deputies go on without it, in milliseconds; 0 for those of
+	// earlier versions.
+	Renewal int64 `json:"renewal,omitempty"`
+	Grant   int64 `json:"grant,omitempty"`
 }
 
+const (
+	// earlierRenewal and earlierGrant are those of versions whose records don't tell them.
+	earlierRenewal = 5 * time.Second
+	earlierGrant   = 2 * time.Second
+)
+
 // NewLeaseRecord returns the record of leases that the leader of an epoch doesn't renew.
 func NewLeaseRecord(epoch int64, c Clock, l leader.Leases) LeaseRecord {
 	r := LeaseRecord{Epoch: epoch, Partial: l.Partial}
@@ -31,8 +42,29 @@
 	return r
 }
 
+// WithRenewals returns the record with for how long the leader renews leases after the log has
+// last confirmed it, and for how long its deputies go on without it.
+func (r LeaseRecord) WithRenewals(renewal, grant time.Duration) LeaseRecord {
+	r.Renewal, r.Grant = renewal.Milliseconds(), grant.Milliseconds()
+	return r
+}
+
+// renewals returns for how long leases may be renewed after the last record of the leader,
+// and after its deputies were on their own. Nothing is known of it without a record.
+func (r *LeaseRecord) renewals(p Policy) (renewal, grant time.Duration) {
+	if r == nil || r.Renewal == 0 {
+		return max(p.Leader.MaxStaleRenewal, earlierRenewal), max(p.MaxGrant, earlierGrant)
+	}
+	return time.Duration(r.Renewal) * time.Millisecond, time.Duration(r.Grant) * time.Millisecond
+}
+
 // Validate returns an error unless all bounds can be told as times.
 func (r LeaseRecord) Validate() error {
+	for _, length := range []int64{r.Renewal, r.Grant} {
+		if err := checkReading(length); err != nil {
+			return err
+		}
+	}
 	for _, reading := range r.Until {
 		if err := checkReading(reading); err != nil {
 			return err
@@ -90,19 +122,21 @@
 // is known to be inactive, its deputies may go on from now at the latest.
 func (l leases) inherited(p Policy, now time.Time, claim int64, inactive bool) leader.Leases {
 	if !l.trusted(claim) {
-		return leader.Leases{Others: p.Leader.LeaseEnd(now.Add(p.Leader.MaxStaleRenewal))}
+		renewal, _ := (*LeaseRecord)(nil).renewals(p)
+		return leader.Leases{Others: p.Leader.LeaseEnd(now.Add(renewal))}
 	}
 	// The log has confirmed a leader with its last record at the latest.
-	latest := p.Leader.LeaseEnd(l.written.Add(p.Leader.MaxStaleRenewal))
+	renewal, grant := l.record.renewals(p)
+	latest := p.Leader.LeaseEnd(l.written.Add(renewal))
 	inherited := leader.Leases{Others: latest, Until: make(map[string]time.Time, len(l.record.Until)), Partial: l.record.Partial}
 	switch {
 	case l.record.Others != 0:
 		inherited.Others = earlier(latest, l.clock.Time(l.record.Others))
 	case l.record.Partial: // some may be renewed by a leader before the last one
 	case l.resigned:
-		inherited.Others = earlier(latest, p.Leader.LeaseEnd(l.written.Add(p.MaxGrant)))
+		inherited.Others = earlier(latest, p.Leader.LeaseEnd(l.written.Add(grant)))
 	case inactive:
-		inherited.Others = earlier(latest, p.Leader.LeaseEnd(now.Add(p.MaxGrant)))
+		inherited.Others = earlier(latest, p.Leader.LeaseEnd(now.Add(grant)))
 	}
 	for id, until := range l.record.Until {
 		inherited.Until[id] = earlier(latest, l.clock.Time(until))
@@ -124,7 +158,8 @@
 		return
 	}
 	t.renewer = ""
-	t.applyToLeader(leader.RenewalsEnded{Until: t.policy.Leader.LeaseEnd(t.now.Add(t.policy.MaxGrant))})
+	_, grant := t.leases.record.renewals(t.policy)
+	t.applyToLeader(leader.RenewalsEnded{Until: t.policy.Leader.LeaseEnd(t.now.Add(grant))})
 }
 
 func earlier(a, b time.Time) time.Time {
