Repeat orders on speeds until they are confirmed

Cause: an order counted as carried out when it was sent, and its outcome was dropped, so that a refusal, a lost answer or a new leader left the worker at its speed for good. Change: a run has a wanted and a confirmed speed. Orders go out one at a time while the two differ, 0.5 s after one that failed, and every second for 10 s after one without an answer, which may be executed after newer ones. A new leader takes the speed for unknown.

--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -73,7 +73,7 @@
 				t.putPlacement(w, Placement{
 					Task: ledger.TaskID{Job: job.Job.ID, Round: round, Step: step, Index: index}, Run: task.Run,
 					Stage: Inherited, Size: job.Job.Steps[step].Reservation(), Checkpoint: task.Checkpoint, SentAt: t.now,
-					BestEffort: job.Job.Steps[step].BestEffort, LatencyTarget: job.Job.Steps[step].LatencyTarget, SpeedPercent: fullSpeed,
+					BestEffort: job.Job.Steps[step].BestEffort, LatencyTarget: job.Job.Steps[step].LatencyTarget, Throttle: Throttle{Unknown: true},
 					Preemptible: isPreemptible(job.Job, step), Urgent: isUrgent(job.Job, step),
 				})
 			}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -139,7 +139,7 @@
 	Measurement   int       // response time in milliseconds or processor use, in the last report
 	ProgressedAt  time.Time // when Percent last changed
 	StartedAt     time.Time // when the start was confirmed
-	SpeedPercent  int       // percentage of full speed that a best-effort task may use
+	Throttle      Throttle  // of a best-effort task
 	Checkpoint    string
 	Ticket        string
 	TicketExpiry  time.Time     // zero without a ticket
@@ -179,9 +179,9 @@
 	return p
 }
 
-// WithSpeed returns the placement limited to a percentage of full speed.
-func (p Placement) WithSpeed(percent int) Placement {
-	p.SpeedPercent = percent
+// WithThrottle returns the placement with the throttle h.
+func (p Placement) WithThrottle(h Throttle) Placement {
+	p.Throttle = h
 	return p
 }
 
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -316,7 +316,7 @@
 	p.setJob(job.WithProgress(progress))
 	placed := Placement{
 		Task: id, Run: run, Incarnation: w.ReportedIncarnation, Stage: Recording, PlacedAt: p.now, Size: spec.Reservation(), Checkpoint: task.Checkpoint, Ticket: held[c.ID].value, TicketExpiry: held[c.ID].expiry,
-		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, SpeedPercent: fullSpeed, Preemptible: isPreemptible(job.Job, id.Step),
+		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, Preemptible: isPreemptible(job.Job, id.Step),
 		Urgent:    isUrgent(job.Job, id.Step),
 		FromStart: task.Checkpoint == "",
 	}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -196,7 +196,7 @@
 		p = p.WithReport(r, t.now)
 		switch p.Stage {
 		case Inherited:
-			p = t.adopt(p)
+			p = t.adopt(w, p)
 		case StartSent:
 			p = p.WithStage(Running).WithAnswer(t.now)
 			p.StartedAt = t.now
@@ -225,9 +225,12 @@
 
 // adopt returns the placement of a run that an earlier leader started and that the
 // worker reports as running.
-func (t *transition) adopt(p Placement) Placement {
+func (t *transition) adopt(w Worker, p Placement) Placement {
 	p = p.WithStage(Running).WithAnswer(t.now)
 	p.StartedAt = t.now
+	if p.BestEffort && w.ServingRuns > 0 {
+		p = p.WithThrottle(p.Throttle.WithSpeedPercent(takeoverSpeed))
+	}
 	return p
 }
 
@@ -292,6 +295,8 @@
 			t.putPlacement(w, p.WithAnswer(at))
 			t.emit(PollNow{Worker: w.ID})
 		}
+	case OrderThrottle:
+		t.handleSpeedOutcome(w, p, e.Outcome)
 	}
 }
 
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -24,17 +24,6 @@
 	// maxPriority is the largest priority number, hence the lowest priority, whose
 	// late steps are demoted. The platform's queues use three priorities.
 	maxPriority = 16
-	// fullSpeed is the speed of a task that is not throttled, in percent.
-	fullSpeed = 100
-	// speedStep is by how many percentage points a throttled task speeds up at each
-	// report. Throttling halves the speed; full recovery takes about seven reports.
-	speedStep = 15
-	// throttleAbove and restoreBelow are fractions of a response time target: above
-	// the first, best-effort tasks beside the task are throttled; below the second,
-	// they speed up again. The margin covers the age of a report, up to two seconds,
-	// which is half of the time that a target may be missed.
-	throttleAbove = 0.8
-	restoreBelow  = 0.5
 )
 
 func (e Ticked) apply(t *transition) {
@@ -76,12 +65,14 @@
 }
 
 // checkWorker expires the leases of an unreachable worker and resends unanswered stops
-// to a reachable one.
+// and unconfirmed speeds to a reachable one.
 func (t *transition) checkWorker(w Worker) {
 	if w.Reachability != Reachable {
 		t.expireLeases(w)
 		return
 	}
+	t.sendSpeeds(w)
+	w, _ = t.fleet.get(w.ID)
 	if w.StoppingRuns == 0 {
 		return
 	}
@@ -173,39 +164,3 @@
 		}
 	}
 }
-
-// throttle slows down the best-effort tasks of a worker while the response times
-// of other tasks there are close to their targets, and speeds them up again once
-// all are well below.
-func (t *transition) throttle(w Worker) {
-	if w.BestEffortRuns == 0 {
-		return
-	}
-	load := 0.0
-	for _, p := range w.Placements.All() {
-		if p.Stage == Running && p.LatencyTarget > 0 {
-			load = max(load, float64(p.Measurement)/float64(p.LatencyTarget.Milliseconds()))
-		}
-	}
-	for _, p := range w.Placements.All() {
-		if !p.BestEffort || p.Stage != Running {
-			continue
-		}
-		percent := p.SpeedPercent
-		switch {
-		case load >= 1:
-			percent = 0
-		case load >= throttleAbove:
-			percent /= 2
-		case load < restoreBelow:
-			percent = min(percent+speedStep, fullSpeed)
-		}
-		if percent == p.SpeedPercent {
-			continue
-		}
-		w = t.putPlacement(w, p.WithSpeed(percent))
-		o := w.order(OrderThrottle, p)
-		o.SpeedPercent = percent
-		t.emit(o)
-	}
-}
