--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -24,7 +24,8 @@
 	output  io.Writer
 	queue   chan []byte
 	batch   []byte       // lines that are being written, reused
-	writing atomic.Int64 // their number
+	lines   int64        // their number
+	held    atomic.Int64 // lines that are queued or being written
 	dropped atomic.Int64
 }
 
@@ -38,15 +39,12 @@
 // Write queues a copy of a line, or drops the line if the queue is full. It never
 // fails.
 func (s *Spooler) Write(line []byte) (int, error) {
-	if s.writing.Load()+int64(len(s.queue)) > queueLength {
+	if s.held.Add(1) > queueLength {
+		s.held.Add(-1)
 		s.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case s.queue <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
-	}
+	s.queue <- append([]byte(nil), line...) // has room: held counts the lines in it
 	return len(line), nil
 }
 
@@ -60,7 +58,7 @@
 		select {
 		case line := <-s.queue:
 			s.collect(line)
-			s.write(s.batch)
+			s.writeBatch()
 		case <-ctx.Done():
 			s.flush()
 			return ctx.Err()
@@ -77,7 +75,7 @@
 		select {
 		case line := <-s.queue:
 			s.collect(line)
-			s.write(s.batch)
+			s.writeBatch()
 		default:
 			return
 		}
@@ -86,12 +84,12 @@
 
 // collect sets the batch to a line and those that wait behind it.
 func (s *Spooler) collect(line []byte) {
-	s.writing.Store(1)
+	s.lines = 1
 	s.batch = append(s.batch[:0], line...)
 	for len(s.batch) < maxWriteBytes {
 		select {
 		case next := <-s.queue:
-			s.writing.Add(1)
+			s.lines++
 			s.batch = append(s.batch, next...)
 		default:
 			return
@@ -99,10 +97,15 @@
 	}
 }
 
+// writeBatch writes the batch. Its lines count as held until then.
+func (s *Spooler) writeBatch() {
+	s.write(s.batch)
+	s.held.Add(-s.lines)
+}
+
 // write writes lines to the output. An error only counts them as dropped, since
 // there is no other output to report it to.
 func (s *Spooler) write(lines []byte) {
-	defer s.writing.Store(0)
 	if _, err := s.output.Write(lines); err != nil {
 		s.dropped.Add(int64(bytes.Count(lines, []byte{'\n'})))
 	}
