--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -102,8 +102,8 @@
 }
 
 // renewInTime renews all leases right before the leader's confirmation runs out. A poll in
-// flight may have been sent up to pollWait before that, and leases would last that much less while the
-// log is down.
+// flight may have been sent up to pollWait before that, and leases would last that much less
+// while the log is down.
 func (c *Commander) renewInTime(ctx context.Context) {
 	var last time.Time // the last confirmation that ran out
 	for ctx.Err() == nil {
@@ -247,9 +247,10 @@
 }
 
 // renewal returns values that renew leases. Leases are renewed once the leader has heard
-// the worker, which refuses the calls from before its last silence, and as long as the worker answers and the log confirms the leader: the leases
-// of a silent worker must be able to lapse, and whoever leads next may rely on what this
-// leader knows of them. The caller holds the lock of the worker's state.
+// the worker and the worker refuses the calls from before its last silence, as long as it
+// answers and the log confirms the leader: the leases of a silent worker must be able to
+// lapse, and whoever leads next may rely on what this leader knows of them. The caller holds
+// the lock of the worker's state.
 func (c *Commander) renewal(s *workerState, now time.Time) Values {
 	v := ValuesFor(s.incarnation)
 	if s.closed || s.clockReadAt.IsZero() || s.unanswered || s.renewedIn != s.silence || !s.fencedOff() || !c.permitted(now) {
--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -308,8 +308,8 @@
 }
 
 // appendToFallback adds values to the fallback stream after the journal's own has
-// refused them, and returns their position there. Each call uses a new sequence number, so that the log does not
-// mistake it for a repeat of an earlier one that went unanswered.
+// refused them, and returns their position there. Each call uses a new sequence number,
+// so that the log does not mistake it for a repeat of an earlier one that went unanswered.
 func (j *Journal) appendToFallback(ctx context.Context, s Fallback, values []replicator.Value) (replicator.Position, error) {
 	renamed := make([]replicator.Value, len(values))
 	for i, v := range values {
--- a/internal/keeper/copies.go
+++ b/internal/keeper/copies.go
@@ -83,7 +83,7 @@
 	maxDiscards = 16
 )
 
-// setCopies stores the copies of a job. Once none is left, nothing accepts it again.
+// setCopies stores the copies of a job. Once none is left, no reader can take it for new.
 func (t *transition) setCopies(id string, c copies) {
 	if c == (copies{}) {
 		t.copies, t.discards = t.copies.Without(id), t.discards.Without(id)
