--- a/internal/commands/commander/given_up_test.go
+++ b/internal/commands/commander/given_up_test.go
@@ -49,7 +49,9 @@
 func playCut(s cutScript) *model {
 	ctx, cancel := context.WithCancel(context.Background())
 	m, f := newModel(ctx)
+	m.mu.Lock()
 	m.givenUp = map[int]bool{}
+	m.mu.Unlock()
 	defer f.commander.Wait()
 	defer cancel()
 	time.Sleep(s.before)
