Draw cuts with lines in use, and orders that are long on their way

Change: the model sends two starts first, draws long cuts and many starts as often as others, and has orders take up to 9 s. The test of speeds ends without load, too, and renewals of earlier versions have a test.

--- a/internal/commands/commander/given_up_test.go
+++ b/internal/commands/commander/given_up_test.go
@@ -13,28 +13,38 @@
 	"github.com/endivelock/endivelock/internal/leader"
 )
 
+// longestWay is longer than a lease: no bound on the way of an order is taken for granted.
+const longestWay = 9 * time.Second
+
 // slots is how many orders to a worker are in progress at a time.
 const slots = 2
 
+// drawnStart is a start that the leader decides on after a pause. Its order takes some time to
+// whoever calls the worker.
+type drawnStart struct{ pause, way time.Duration }
+
 // cutScript is a worker that is cut off while starts are sent to it.
 type cutScript struct {
-	fates  []fate          // of the calls from the cut on; what is sent in it arrives after it, or never
-	pauses []time.Duration // before each start, the first right before the cut
-	before time.Duration   // from the worker's first report to the starts
+	fates  []fate        // of the calls from the cut on; what is sent in it arrives after it, or never
+	starts []drawnStart  // the first right before the cut
+	before time.Duration // from the worker's first report to the starts
 	cut    time.Duration
-	after  []time.Duration // before each start after the cut
+	after  []drawnStart // after the cut
 }
 
 func drawCutScript(t *rapid.T) cutScript {
-	pause := rapid.Custom(func(t *rapid.T) time.Duration {
-		return duration(t, "pause", 0, rapid.SampledFrom([]time.Duration{0, shortPause, longPause}).Draw(t, "most"))
+	starts := rapid.Custom(func(t *rapid.T) drawnStart {
+		return drawnStart{
+			pause: duration(t, "pause", 0, rapid.SampledFrom([]time.Duration{0, shortPause, longPause}).Draw(t, "most")),
+			way:   duration(t, "way", 0, rapid.SampledFrom([]time.Duration{0, 0, 0, longestWay}).Draw(t, "longest")),
+		}
 	})
 	return cutScript{
 		fates:  rapid.SliceOfN(rapid.Custom(drawFate), 0, 100).Draw(t, "fates"),
-		pauses: rapid.SliceOfN(pause, 1, 60).Draw(t, "pauses"),
+		starts: rapid.SliceOfN(starts, rapid.SampledFrom([]int{1, 40}).Draw(t, "least"), 60).Draw(t, "starts"),
 		before: duration(t, "before", 100*time.Millisecond, 3*time.Second),
-		cut:    duration(t, "cut", 500*time.Millisecond, 10*time.Second),
-		after:  rapid.SliceOfN(pause, 0, 10).Draw(t, "after"),
+		cut:    duration(t, "cut", rapid.SampledFrom([]time.Duration{500 * time.Millisecond, lease}).Draw(t, "shortest"), 10*time.Second),
+		after:  rapid.SliceOfN(starts, 0, 10).Draw(t, "after"),
 	}
 }
 
@@ -55,18 +65,22 @@
 	defer f.commander.Wait()
 	defer cancel()
 	time.Sleep(s.before)
-	for i, pause := range s.pauses {
-		time.Sleep(pause)
+	for range slots { // leaves lines on which starts can be sent right before the cut
 		f.order()
+	}
+	time.Sleep(2 * workTime)
+	for i, start := range s.starts {
+		time.Sleep(start.pause)
+		f.orderAfter(start.way)
 		if i == 0 {
 			m.setFates(s.fates)
 			m.cutOff(s.cut)
 		}
 	}
 	time.Sleep(s.cut)
-	for _, pause := range s.after {
-		time.Sleep(pause)
-		f.order()
+	for _, start := range s.after {
+		time.Sleep(start.pause)
+		f.orderAfter(start.way)
 	}
 	time.Sleep(calm)
 	m.setFates(nil)
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -333,7 +333,10 @@
 }
 
 // order sends a start to the incarnation that was heard last, if any.
-func (f *follower) order() {
+func (f *follower) order() { f.orderAfter(0) }
+
+// orderAfter is like order, with a time from the decision until the commander is told.
+func (f *follower) orderAfter(way time.Duration) {
 	f.mu.Lock()
 	if f.model.givenUp != nil && f.silent {
 		f.mu.Unlock()
@@ -347,9 +350,15 @@
 	}
 	f.open[run] = true
 	f.mu.Unlock()
-	if known != 0 {
-		f.commander.Order(leader.Order{Worker: "w", Incarnation: known, Silence: silence, Kind: leader.OrderStart, Run: run})
+	if known == 0 {
+		return
+	}
+	o := leader.Order{Worker: "w", Incarnation: known, Silence: silence, Kind: leader.OrderStart, Run: run}
+	if way == 0 {
+		f.commander.Order(o)
+		return
 	}
+	time.AfterFunc(way, func() { f.commander.Order(o) })
 }
 
 func (f *follower) heard() int64 {
--- a/internal/keeper/leases_test.go
+++ b/internal/keeper/leases_test.go
@@ -151,6 +151,29 @@
 	}
 }
 
+// Guards against runs that start twice during a rolling update: leaders of earlier versions
+// renew leases without the log for longer, and their records don't say for how long.
+func TestRenewalsOfEarlierVersionsAreCountedAsTheyWere(t *testing.T) {
+	const renewal, earlierRenewal = 2500 * time.Millisecond, 5 * time.Second
+	policy := leader.Policy{Lease: 6 * time.Second}
+	for name, c := range map[string]struct {
+		record keeper.LeaseRecord
+		want   time.Duration
+	}{
+		"this version":    {keeper.LeaseRecord{Epoch: 5}.WithRenewals(renewal, renewal/2), renewal},
+		"earlier version": {keeper.LeaseRecord{Epoch: 5}, earlierRenewal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := withRun(lead(5, "first"))
+			e.runs(keeper.RunChange{Leases: &c.record}, record(5, 1000, "first"))
+			bound := policy.LeaseEnd(e.now.Add(c.want))
+			e.takeOver(t, keeper.RunChange{Claim: true, Awaits: true})
+			assert.Assert(t, lostAt(e, time.Minute) > 0)
+			assert.Assert(t, !e.now.Before(bound) && e.now.Before(bound.Add(200*time.Millisecond)), "%v after the bound", e.now.Sub(bound))
+		})
+	}
+}
+
 // Guards against workers that refuse the leader: an entry whose claim took longer than the
 // next one's led for a moment, with fences above those of the later leader, whose records it
 // had read.
--- a/internal/leader/throttle_test.go
+++ b/internal/leader/throttle_test.go
@@ -160,11 +160,13 @@
 				c.takeOver()
 			}
 		}
-		c.busy, c.fates = true, nil
+		c.fates = nil
 		c.pass(longestLateCall)
-		for range 20 {
-			c.pass(time.Second)
-			assert.Assert(rt, c.harmed < longestHarm, "the target has been missed for %v at %d%%", c.harmed, c.speed)
+		if c.busy {
+			for range 20 {
+				c.pass(time.Second)
+				assert.Assert(rt, c.harmed < longestHarm, "the target has been missed for %v at %d%%", c.harmed, c.speed)
+			}
 		}
 		c.busy = false
 		c.pass(20 * time.Second)
