Decode workspaces, public routes and limits of the configuration

Cause: two deployments have tenants with keys, weights and caps, and routes that need no key. Nothing outside platform/ had types for them.

Change: router.Config has workspaces with hashes of their keys, public routes and all limits; a job names its workspace; keeper and leader know the workspaces of the newest version, also after a takeover. No decision uses them yet.

--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -42,6 +42,7 @@
 		return
 	}
 	e.config.Store(&c)
+	e.controller.Submit(keeper.ConfigRead{Version: c.Version, Workspaces: c.Accounts()})
 	log.Info("configuration in force")
 }
 
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -188,6 +188,13 @@
 	}
 }
 
+func (e ConfigRead) apply(t *transition) {
+	t.config = e
+	if t.role == Leading {
+		t.applyToLeader(leader.WorkspacesChanged(e))
+	}
+}
+
 func (ReadFailed) apply(t *transition) { t.lastRead = time.Time{} }
 
 func (e LinkLost) apply(t *transition) {
@@ -345,6 +352,7 @@
 	t.leader = leader.New(t.policy.Leader, t.now).WithInheritedLeases(inherited)
 	t.emit(LogLeadership{What: "lead", Lead: t.State.lead, Why: "the claim succeeded"})
 	t.emit(StartLeading{Epoch: e.Epoch, Clock: clock, Leases: inherited})
+	t.applyToLeader(leader.WorkspacesChanged(t.config))
 	for id, job := range t.jobs.All() {
 		accepted := leader.Accepted{Job: job}
 		if p, ok := t.progress.Get(id); ok {
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -57,6 +57,12 @@
 	return changes
 }
 
+// ConfigRead reports the workspaces of a version of the configuration that came into force.
+type ConfigRead struct {
+	Version    int64
+	Workspaces []ledger.Workspace
+}
+
 // ReadFailed reports that the stream of runs could not be read.
 type ReadFailed struct{}
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -96,6 +96,7 @@
 	offsets  container.Table[int64] // offset of the next read, by stream
 
 	replica replica
+	config  ConfigRead // the newest one
 
 	lastHeartbeat time.Time // last heartbeat of a leader, or when the timeout started anew
 	lastRead      time.Time // last successful read of the runs
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -19,6 +19,13 @@
 // CancelAccepted reports the cancellation of a job in the log.
 type CancelAccepted struct{ Job ledger.ID }
 
+// WorkspacesChanged reports the workspaces of a version of the configuration. Versions that
+// are not newer than the last one are ignored.
+type WorkspacesChanged struct {
+	Version    int64
+	Workspaces []ledger.Workspace
+}
+
 // Listed reports a worker that the platform lists anew or with a changed listing.
 type Listed struct{ Listing Listing }
 
@@ -168,6 +175,7 @@
 var (
 	_ Event = Accepted{}
 	_ Event = CancelAccepted{}
+	_ Event = WorkspacesChanged{}
 	_ Event = Listed{}
 	_ Event = Unlisted{}
 	_ Event = Reported{}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -42,6 +42,8 @@
 	leasesDue  bool      // workers have fallen silent or been heard since the last one
 	nextLeases time.Time // earliest time of the next one
 
+	workspaces workspaces
+
 	batch          int64 // number of the last batch of log records
 	committed      int64 // number of the last one in the log
 	jobs           container.Table[ActiveJob]
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -147,12 +147,13 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID       ID        `json:"id"`
-	Queue    Queue     `json:"queue"`
-	Spec     string    `json:"spec,omitempty"` // passed on to the workers
-	Steps    []Step    `json:"steps"`
-	Schedule *Schedule `json:"schedule,omitempty"` // nil: runs once, immediately
-	Accepted time.Time `json:"accepted"`           // by the clock of the entry that accepted it
+	ID        ID        `json:"id"`
+	Queue     Queue     `json:"queue"`
+	Workspace string    `json:"workspace,omitempty"` // name of the workspace that it counts against, empty for none
+	Spec      string    `json:"spec,omitempty"`      // passed on to the workers
+	Steps     []Step    `json:"steps"`
+	Schedule  *Schedule `json:"schedule,omitempty"` // nil: runs once, immediately
+	Accepted  time.Time `json:"accepted"`           // by the clock of the entry that accepted it
 }
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"crypto/sha256"
 	"strings"
 	"time"
 
@@ -14,14 +15,45 @@
 	Host    string
 	Prefix  string
 	Timeout time.Duration // of one request
+	Public  bool          // requests need no key and count against no workspace
 	Queue   ledger.Queue
 }
 
+// KeyHash is the SHA-256 hash of a key. The keys themselves are secrets and are not kept.
+type KeyHash [sha256.Size]byte
+
+// Hash returns the hash of a key.
+func Hash(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Workspace is a workspace and the keys that requests on its behalf carry.
+type Workspace struct {
+	ledger.Workspace
+	Keys []KeyHash
+}
+
+// Limits are the limits of what a client may send.
+type Limits struct {
+	HeaderBytes   int64         // size of the head of a request; 0 for the default
+	BodyBytes     int64         // size of its body; 0 for the default
+	HeaderTimeout time.Duration // time to send the head; 0 for the default
+	IdleTimeout   time.Duration // time without a request on a connection; 0 for the default
+}
+
 // Config is one version of the configuration.
 type Config struct {
-	Version      int64
-	Routes       []Route
-	MaxBodyBytes int64 // limit of a request's body, bytes
+	Version    int64
+	Routes     []Route
+	Workspaces []Workspace // none if requests need no keys
+	Limits     Limits
+}
+
+// Accounts returns the workspaces without their keys.
+func (c Config) Accounts() []ledger.Workspace {
+	accounts := make([]ledger.Workspace, 0, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		accounts = append(accounts, w.Workspace)
+	}
+	return accounts
 }
 
 // Match returns the route of a host with the longest matching prefix of a path,
