Let no refused drop keep jobs from the fallback stream

Cause: while the partition of the jobs was down, a leader that had to drop an ended job first took the refusal for an outage of the log. It then turned away every job with 503, and so did all entries, although the stream of runs answered and takes jobs in place of a stream that refuses them. A probe asked the refused stream alone, so that this lasted as long as the partition was down.

Change: a refused append of drops alone says nothing of the fallback stream and begins no outage. A probe that the stream refuses goes on to the fallback stream.

--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -222,14 +222,32 @@
 	return time.Until(last.Add(j.Spacing(took)))
 }
 
-// probe finds out whether the log answers again.
+// probe finds out whether the log takes values again, in the journal's stream or in the
+// fallback stream.
 func (j *Journal) probe(ctx context.Context) {
 	began := time.Now()
-	_, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Writer: probeWriter, Epoch: probeEpoch, Timeout: probeTimeout})
+	err := j.probeStream(ctx, j.stream)
+	if s, ok := j.fallbackAfter(err); ok {
+		err = j.probeStream(ctx, s.Stream)
+	}
 	j.track(time.Time{}, err)
 	j.pace(began, err)
 }
 
+func (j *Journal) probeStream(ctx context.Context, stream string) error {
+	_, err := j.log.Append(ctx, replicator.Append{Stream: stream, Writer: probeWriter, Epoch: probeEpoch, Timeout: probeTimeout})
+	return err
+}
+
+// fallbackAfter returns the fallback stream for values that the journal's own has refused with
+// an error, if it has refused them and there is one.
+func (j *Journal) fallbackAfter(err error) (Fallback, bool) {
+	if j.Fallback == nil || !classifier.NotExecuted(err) {
+		return Fallback{}, false
+	}
+	return j.Fallback()
+}
+
 // pace keeps when an append was sent and how long the stream is taken up by one: as long as
 // it took or, after a refusal, twice as long as known so far.
 func (j *Journal) pace(began time.Time, err error) {
@@ -272,17 +290,21 @@
 	j.track(began, nil)
 	position, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Values: values, Timeout: appendTimeout})
 	dropErr, diverted := err, false
-	if classifier.NotExecuted(err) && j.Fallback != nil {
-		kept := valuesOf(slices.DeleteFunc(slices.Clone(batch), func(r request) bool { return r.drop }))
-		if s, ok := j.Fallback(); ok && len(kept) > 0 {
-			values, diverted = kept, true
-			position, err = j.appendToFallback(ctx, s, kept)
+	s, fallback := j.fallbackAfter(err)
+	if fallback {
+		values, diverted = valuesOf(slices.DeleteFunc(slices.Clone(batch), func(r request) bool { return r.drop })), true
+		if len(values) > 0 {
+			position, err = j.appendToFallback(ctx, s, values)
 		}
 	}
 	j.Delay.UpdateSince(began)
 	j.pace(began, err)
 	logSlowAppend(j.Logger, j.stream, len(batch), began, err)
-	j.track(time.Time{}, err)
+	if fallback && len(values) == 0 {
+		j.trackRefusedDrops()
+	} else {
+		j.track(time.Time{}, err)
+	}
 	if err == nil && j.Added != nil {
 		for i := range values {
 			values[i].Offset = position.First + int64(i)
@@ -352,3 +374,11 @@
 		j.failingSince = time.Now()
 	}
 }
+
+// trackRefusedDrops records the end of an append of drops alone that the journal's stream has
+// refused. It says nothing of the fallback stream, which takes all other values.
+func (j *Journal) trackRefusedDrops() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sentAt = time.Time{}
+}
--- a/internal/commands/recorder/recorder_test.go
+++ b/internal/commands/recorder/recorder_test.go
@@ -438,6 +438,53 @@
 	}
 }
 
+// While its stream is refused, a journal that had to drop a value first turned away all values
+// that the fallback stream would have taken.
+func TestARefusedDropKeepsNoValueFromTheFallbackStream(t *testing.T) {
+	l := &log{}
+	l.fail = func(n int) error {
+		if l.all()[n-1].Stream == "jobs" {
+			return &classifier.Error{Kind: classifier.Busy}
+		}
+		return nil
+	}
+	j := serveJournal(t, l)
+	j.Fallback = func() (recorder.Fallback, bool) {
+		return recorder.Fallback{Stream: "runs", Epoch: 9, Name: func(name string) string { return "+" + name }}, true
+	}
+	for range 3 {
+		assert.Assert(t, classifier.Is(j.Drop(context.Background(), "a"), classifier.Busy))
+		assert.NilError(t, j.Add(context.Background(), replicator.Value{Name: "b", Data: []byte("{}")}))
+	}
+}
+
+// Both streams are refused, and the fallback stream is the first that answers again.
+func TestAnOutageEndsOnceTheFallbackStreamAnswers(t *testing.T) {
+	l := &log{}
+	var recovered atomic.Bool
+	l.fail = func(n int) error {
+		if l.all()[n-1].Stream == "jobs" || !recovered.Load() {
+			return &classifier.Error{Kind: classifier.Busy}
+		}
+		return nil
+	}
+	j := serveJournal(t, l)
+	j.Fallback = func() (recorder.Fallback, bool) {
+		return recorder.Fallback{Stream: "runs", Epoch: 9, Name: func(name string) string { return "+" + name }}, true
+	}
+	value := replicator.Value{Name: "b", Data: []byte("{}")}
+	assert.Assert(t, classifier.Is(j.Add(context.Background(), value), classifier.Busy))
+	assert.Assert(t, j.Outage() > 0)
+	recovered.Store(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if j.Outage() > 0 {
+			return poll.Continue("the journal refuses values")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	assert.NilError(t, j.Add(context.Background(), value))
+}
+
 // slowLog answers an append long after it has taken it.
 type slowLog struct{ delay time.Duration }
 
