--- a/internal/commands/recorder/journal.go
+++ b/internal/commands/recorder/journal.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/replicator"
@@ -101,6 +102,7 @@
 	mu           sync.Mutex
 	sentAt       time.Time // when the append in flight was sent, or zero
 	failingSince time.Time // when appends began to fail, or zero
+	silent       bool      // the last append or probe of the journal's own stream went unanswered
 	lastAt       time.Time // when the last append was sent, or zero
 	lastTook     time.Duration
 
@@ -191,9 +193,12 @@
 func (j *Journal) Serve(ctx context.Context) error {
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
+	var probes errgroup.Group
+	probes.SetLimit(1)
 	for {
 		select {
 		case <-ctx.Done():
+			_ = probes.Wait()
 			return ctx.Err()
 		case first := <-j.queue:
 			timer.Sleep(ctx, j.spacingLeft())
@@ -201,13 +206,24 @@
 				j.append(ctx, batch)
 			}
 		case <-probe.C:
-			if j.Outage() > 0 && j.spacingLeft() <= 0 {
-				j.probe(ctx)
+			if j.needsProbe() && j.spacingLeft() <= 0 {
+				probes.TryGo(func() error {
+					j.probe(ctx)
+					return nil
+				})
 			}
 		}
 	}
 }
 
+// needsProbe reports whether a stream has failed and no value is sent to find out whether it
+// answers again.
+func (j *Journal) needsProbe() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.silent || !j.failingSince.IsZero()
+}
+
 // spacingLeft returns how long the next append has to wait after the last one.
 func (j *Journal) spacingLeft() time.Duration {
 	if j.Spacing == nil {
@@ -223,15 +239,18 @@
 }
 
 // probe finds out whether the log takes values again, in the journal's stream or in the
-// fallback stream.
+// fallback stream. Values that go to the fallback stream don't wait for it.
 func (j *Journal) probe(ctx context.Context) {
 	began := time.Now()
 	err := j.probeStream(ctx, j.stream)
-	if s, ok := j.fallbackAfter(err); ok {
+	j.setSilent(err)
+	if s, ok := j.fallback(); ok && err != nil {
 		err = j.probeStream(ctx, s.Stream)
 	}
-	j.track(time.Time{}, err)
 	j.pace(began, err)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.failed(err)
 }
 
 func (j *Journal) probeStream(ctx context.Context, stream string) error {
@@ -239,15 +258,28 @@
 	return err
 }
 
-// fallbackAfter returns the fallback stream for values that the journal's own has refused with
-// an error, if it has refused them and there is one.
-func (j *Journal) fallbackAfter(err error) (Fallback, bool) {
-	if j.Fallback == nil || !classifier.NotExecuted(err) {
+// fallback returns the fallback stream, if there is one.
+func (j *Journal) fallback() (Fallback, bool) {
+	if j.Fallback == nil {
 		return Fallback{}, false
 	}
 	return j.Fallback()
 }
 
+// isSilent reports whether the journal's own stream doesn't answer.
+func (j *Journal) isSilent() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.silent
+}
+
+// setSilent records the result of a call to the journal's own stream.
+func (j *Journal) setSilent(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.silent = classifier.Is(err, classifier.Unanswered)
+}
+
 // pace keeps when an append was sent and how long the stream is taken up by one: as long as
 // it took or, after a refusal, twice as long as known so far.
 func (j *Journal) pace(began time.Time, err error) {
@@ -284,15 +316,18 @@
 	}
 }
 
+// append adds the values of a batch to the journal's stream. If that refuses them, or hasn't
+// answered the last call, they go to the fallback stream, except for drops. A value whose append
+// went unanswered is not added again, since it may be in the stream.
 func (j *Journal) append(ctx context.Context, batch []request) {
-	values := valuesOf(batch)
 	began := time.Now()
 	j.track(began, nil)
-	position, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Values: values, Timeout: appendTimeout})
-	dropErr, diverted := err, false
-	s, fallback := j.fallbackAfter(err)
-	if fallback {
-		values, diverted = valuesOf(slices.DeleteFunc(slices.Clone(batch), func(r request) bool { return r.drop })), true
+	s, divertible := j.fallback()
+	values := valuesOf(batch)
+	position, err := j.appendOwn(ctx, values, divertible)
+	dropErr, diverted := err, divertible && classifier.NotExecuted(err)
+	if diverted {
+		values = valuesOf(slices.DeleteFunc(slices.Clone(batch), func(r request) bool { return r.drop }))
 		if len(values) > 0 {
 			position, err = j.appendToFallback(ctx, s, values)
 		}
@@ -300,8 +335,8 @@
 	j.Delay.UpdateSince(began)
 	j.pace(began, err)
 	logSlowAppend(j.Logger, j.stream, len(batch), began, err)
-	if fallback && len(values) == 0 {
-		j.trackRefusedDrops()
+	if divertible && err != nil && (!diverted || len(values) == 0) {
+		j.trackOwn() // says nothing of the fallback stream, which takes the values that follow
 	} else {
 		j.track(time.Time{}, err)
 	}
@@ -320,6 +355,17 @@
 	}
 }
 
+// appendOwn adds values to the journal's own stream. If they can go to another one, it refuses
+// them while that stream doesn't answer.
+func (j *Journal) appendOwn(ctx context.Context, values []replicator.Value, divertible bool) (replicator.Position, error) {
+	if divertible && j.isSilent() {
+		return replicator.Position{}, congested("its stream does not answer")
+	}
+	position, err := j.log.Append(ctx, replicator.Append{Stream: j.stream, Values: values, Timeout: appendTimeout})
+	j.setSilent(err)
+	return position, err
+}
+
 // valuesOf returns the values of requests.
 func valuesOf(batch []request) []replicator.Value {
 	values := make([]replicator.Value, len(batch))
@@ -366,8 +412,14 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sentAt = sentAt
+	if sentAt.IsZero() {
+		j.failed(err)
+	}
+}
+
+// failed records the result of a call, nil if it succeeded. The caller holds the lock.
+func (j *Journal) failed(err error) {
 	switch {
-	case !sentAt.IsZero():
 	case err == nil:
 		j.failingSince = time.Time{}
 	case j.failingSince.IsZero():
@@ -375,9 +427,8 @@
 	}
 }
 
-// trackRefusedDrops records the end of an append of drops alone that the journal's stream has
-// refused. It says nothing of the fallback stream, which takes all other values.
-func (j *Journal) trackRefusedDrops() {
+// trackOwn records the end of an append that only the journal's own stream has failed.
+func (j *Journal) trackOwn() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sentAt = time.Time{}
