Ask for the keys of workspaces, and judge them by a configuration of known age

Cause: requests ran whatever their key, and a revoked key was served for ever. The configuration's reads were not timed, so no entry knew how old its configuration was.

Change: the pure package authenticator decides by the hash of the key and the time since the read was sent that confirmed the configuration, on a clock that counts suspensions. Settings revoke and apply.

--- a/cmd/endivelock/schedule.go
+++ b/cmd/endivelock/schedule.go
@@ -79,6 +79,7 @@
 	front := &adapter.Handler{
 		Config: entry.Config, Available: entry.Available, Stopping: entry.Stopping, Outage: entry.Outage,
 		Acceptor: entry.Acceptor, Inspector: entry.Inspector, Logger: log, Registry: entry.Registry,
+		Authenticator: entry,
 	}
 	entry.Callers, entry.Ready = front, http.HandlerFunc(front.Ready)
 	dropped := metrics.NewFunctionalGauge(spool.Dropped)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivelock/endivelock/internal/authenticator"
 	"github.com/endivelock/endivelock/internal/commands/acceptor"
 	"github.com/endivelock/endivelock/internal/commands/adviser"
 	"github.com/endivelock/endivelock/internal/commands/commander"
@@ -125,13 +126,14 @@
 }
 
 // Entry is one entry instance. Create it with New, set Callers and Ready, then call
-// Run.
+// Run. The other fields may be replaced before that.
 type Entry struct {
 	Callers   http.Handler // serves requests of clients
 	Ready     http.Handler // serves readiness checks of the load balancer
 	Acceptor  *acceptor.Acceptor
 	Inspector *inspector.Inspector
 	Registry  metrics.Registry
+	Clock     func() time.Duration // also counts while the machine is suspended
 
 	settings    loader.Cell
 	ports       Ports
@@ -143,7 +145,7 @@
 	journal     *recorder.Journal
 	adviser     *adviser.Adviser
 	deputy      *delegator.Deputy
-	config      atomic.Pointer[router.Config]
+	reading     atomic.Pointer[authenticator.Reading] // never nil; written by the follower of the configuration
 	draining    atomic.Bool
 	ctx         context.Context
 	group       errgroup.Group
@@ -153,11 +155,14 @@
 	mu           sync.Mutex
 	active       *leaderServices               // nil unless this entry leads
 	stopFollower map[string]context.CancelFunc // by stream that is followed temporarily
+
+	newestInForce bool // whether the newest record of the configuration that was read is in force; used by its follower only
 }
 
 // New returns an entry that is not running yet.
 func New(s loader.Cell, p Ports, logger logrus.FieldLogger) *Entry {
-	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catchUpSlot: make(chan struct{}, 1), stopFollower: map[string]context.CancelFunc{}}
+	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catchUpSlot: make(chan struct{}, 1), stopFollower: map[string]context.CancelFunc{}, Clock: timer.Uptime}
+	e.reading.Store(&authenticator.Reading{})
 	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, CPUShare: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
 	e.relayer = &relayer.Relayer{Direct: p.Platform, Logger: logger}
@@ -195,22 +200,27 @@
 }
 
 // Config returns the current configuration, if there is one.
-func (e *Entry) Config() (router.Config, bool) {
-	c := e.config.Load()
-	if c == nil {
-		return router.Config{}, false
-	}
-	return *c, true
+func (e *Entry) Config() (router.Config, bool) { return e.reading.Load().Config() }
+
+// Judge decides whether a request may be carried out, by its key and whether its route is
+// public.
+func (e *Entry) Judge(key router.KeyHash, public bool) authenticator.Decision {
+	return e.reading.Load().Judge(e.keyPolicy(), key, public, e.Clock())
+}
+
+func (e *Entry) keyPolicy() authenticator.Policy {
+	return authenticator.Policy{Revoke: e.settings.Revoke, Apply: e.settings.Apply}
 }
 
 // Available reports whether the entry is ready for requests, and the reason if it
 // is not.
 func (e *Entry) Available() (bool, string) {
 	s := e.controller.Snapshot()
+	_, configured := e.Config()
 	switch {
 	case e.draining.Load():
 		return false, "stopping"
-	case e.config.Load() == nil:
+	case !configured:
 		return false, "no configuration yet"
 	case s.Linked() && s.Role() != keeper.Leading:
 		return true, "" // the leader accepts jobs for this entry
--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -18,32 +18,49 @@
 	stream, name := e.ports.Platform.ConfigName()
 	return &replicator.Follower{
 		Stream: stream, Reader: e.ports.Platform, Logger: e.logger, PollTimeout: readWait, From: -1,
+		Clock: func() time.Duration { return e.Clock() },
 		Handle: func(b replicator.Batch) {
+			// The stream keeps the newest record of each name, so a snapshot without the
+			// configuration shows none.
+			current := e.newestInForce && !b.Snapshot
 			for _, v := range b.Values {
-				if v.Name == name && v.Data != nil {
-					e.applyConfig(v)
+				if v.Name == name {
+					current = e.applyConfig(v)
 				}
 			}
+			e.newestInForce = current
+			if current && b.Complete {
+				confirmed := e.reading.Load().WithConfirmation(b.Sent)
+				e.reading.Store(&confirmed)
+			}
 		},
 	}
 }
 
-// applyConfig makes a configuration the current one if its version is newer.
-func (e *Entry) applyConfig(v replicator.Value) {
+// applyConfig makes a configuration the current one if its version is newer. It reports
+// whether the record is the version in force.
+func (e *Entry) applyConfig(v replicator.Value) bool {
 	log := e.logger.WithField("offset", v.Offset)
+	if v.Data == nil {
+		log.Warn("the configuration was dropped; the previous one stays in force")
+		return false
+	}
 	c, err := e.ports.Platform.Config(v.Data)
 	if err != nil {
 		log.WithError(err).Error("decoding the configuration failed; the previous one stays in force")
-		return
+		return false
 	}
-	log = log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes)})
-	if old := e.config.Load(); old != nil && old.Version >= c.Version {
+	log = log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "workspaces": len(c.Workspaces)})
+	reading := *e.reading.Load()
+	if old, ok := reading.Config(); ok && old.Version >= c.Version {
 		log.WithField("inforce", old.Version).Info("configuration ignored, since its version is not newer")
-		return
+		return old.Version == c.Version
 	}
-	e.config.Store(&c)
+	reading = reading.WithConfig(c)
+	e.reading.Store(&reading)
 	e.controller.Submit(keeper.ConfigRead{Version: c.Version, Workspaces: c.Accounts()})
 	log.Info("configuration in force")
+	return true
 }
 
 // leadsFollower follows who leads. Every entry does, whereas only those that may
--- /dev/null
+++ b/internal/conductor/keys_test.go
@@ -0,0 +1,154 @@
+package conductor_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/endivelock/endivelock/internal/authenticator"
+	"github.com/endivelock/endivelock/internal/conductor"
+	"github.com/endivelock/endivelock/internal/emulator"
+	"github.com/endivelock/endivelock/internal/ledger"
+	"github.com/endivelock/endivelock/internal/loader"
+	"github.com/endivelock/endivelock/internal/replicator"
+	"github.com/endivelock/endivelock/internal/router"
+)
+
+const (
+	keyRevoke = 2 * time.Second
+	keyApply  = 1500 * time.Millisecond
+)
+
+// keyedPlatform decodes configurations in the form of router.Config.
+type keyedPlatform struct{ *emulator.LogClient }
+
+func (keyedPlatform) Config(data []byte) (router.Config, error) {
+	var c router.Config
+	err := json.Unmarshal(data, &c)
+	if err == nil && c.Version == 0 {
+		err = errors.New("no version")
+	}
+	return c, err
+}
+
+// keyedEntry is an entry on a log with a configuration that has keys.
+type keyedEntry struct {
+	*conductor.Entry
+	log    *emulator.Log
+	port   *emulator.LogClient
+	offset atomic.Int64 // added to its clock
+}
+
+func startKeyed(t *testing.T) *keyedEntry {
+	t.Helper()
+	ports := &emulator.Ports{}
+	s := loader.Cell{Name: "e0", Zone: "z", Lease: 6 * time.Second, Grace: 2 * time.Second, Keep: time.Minute, Share: 1, Memory: 100, Revoke: keyRevoke, Apply: keyApply}
+	for _, address := range []*string{&s.Listen.Callers, &s.Listen.Ready, &s.Listen.Peers, &s.Listen.Metrics} {
+		free, err := ports.Address()
+		assert.NilError(t, err)
+		*address = free
+	}
+	logger, _ := test.NewNullLogger()
+	k := &keyedEntry{log: &emulator.Log{}}
+	k.port = &emulator.LogClient{Log: k.log}
+	k.Entry = conductor.New(s, conductor.Ports{Platform: keyedPlatform{k.port}, Workers: &emulator.Cell{}}, logger)
+	clock := k.Clock
+	k.Clock = func() time.Duration { return clock() + time.Duration(k.offset.Load()) }
+	k.Callers, k.Ready = http.NotFoundHandler(), http.NotFoundHandler()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return k.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+		assert.NilError(t, ports.Release())
+	})
+	return k
+}
+
+// publish appends a version with the keys of one workspace.
+func (k *keyedEntry) publish(t *testing.T, version int64, keys ...string) {
+	t.Helper()
+	c := router.Config{Version: version, Workspaces: []router.Workspace{{Workspace: ledger.Workspace{Name: "a"}}}}
+	for _, key := range keys {
+		c.Workspaces[0].Keys = append(c.Workspaces[0].Keys, router.Hash(key))
+	}
+	data, err := json.Marshal(c)
+	assert.NilError(t, err)
+	k.publishRaw(t, data)
+}
+
+func (k *keyedEntry) publishRaw(t *testing.T, data []byte) {
+	t.Helper()
+	_, err := k.log.Append(context.Background(), replicator.Append{Stream: "op", Values: []replicator.Value{{Name: "config", Data: data}}})
+	assert.NilError(t, err)
+}
+
+// judged waits until a key has a verdict.
+func (k *keyedEntry) judged(t *testing.T, key string, want authenticator.Verdict, within time.Duration) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d := k.Judge(router.Hash(key), false)
+		if d.Verdict == want {
+			return poll.Success()
+		}
+		return poll.Continue("key is %v by version %d of age %v", d.Verdict, d.Version, d.Age)
+	}, poll.WithTimeout(within), poll.WithDelay(5*time.Millisecond))
+}
+
+// An entry that is cut off from the log can't know that a key was revoked, so it must stop
+// serving the key in time. It must not call an added key unknown either.
+func TestKeysOfAnEntryThatIsCutOff(t *testing.T) {
+	k := startKeyed(t)
+	k.publish(t, 1, "stays", "goes")
+	k.judged(t, "goes", authenticator.Admitted, 5*time.Second)
+	k.port.SetCut(true)
+	published := time.Now()
+	k.publish(t, 2, "stays", "added")
+	for time.Since(published) < keyRevoke+500*time.Millisecond {
+		before := time.Since(published)
+		goes, added := k.Judge(router.Hash("goes"), false), k.Judge(router.Hash("added"), false)
+		assert.Assert(t, before <= keyRevoke || goes.Verdict == authenticator.Undecided, "served %v after it was revoked", before)
+		assert.Assert(t, before <= keyApply || added.Verdict != authenticator.Unknown, "unknown %v after it was added", before)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, k.Judge(router.Hash("goes"), true).Verdict, authenticator.Admitted, "public routes go on")
+	k.port.SetCut(false)
+	k.judged(t, "goes", authenticator.Unknown, 5*time.Second)
+	k.judged(t, "added", authenticator.Admitted, time.Second)
+}
+
+// The time of a suspension counts, even if no timer has fired since.
+func TestKeysAfterASuspension(t *testing.T) {
+	k := startKeyed(t)
+	k.publish(t, 1, "known")
+	k.judged(t, "known", authenticator.Admitted, 5*time.Second)
+	k.port.SetCut(true)
+	k.offset.Store(int64(keyRevoke))
+	assert.Equal(t, k.Judge(router.Hash("known"), false).Verdict, authenticator.Undecided)
+	k.port.SetCut(false)
+	k.judged(t, "known", authenticator.Admitted, 5*time.Second)
+}
+
+// A version that can't be decoded may have revoked any key, however often the log answers
+// after it.
+func TestKeysAfterAnInvalidConfiguration(t *testing.T) {
+	k := startKeyed(t)
+	k.publish(t, 1, "known")
+	k.judged(t, "known", authenticator.Admitted, 5*time.Second)
+	k.publishRaw(t, []byte("{"))
+	k.judged(t, "known", authenticator.Undecided, keyRevoke+time.Second)
+	time.Sleep(1200 * time.Millisecond) // longer than a read waits
+	assert.Equal(t, k.Judge(router.Hash("known"), false).Verdict, authenticator.Undecided)
+	k.publish(t, 3, "known")
+	k.judged(t, "known", authenticator.Admitted, 5*time.Second)
+}
--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -23,6 +23,8 @@
 	Lease    time.Duration `yaml:"lease"`    // longest lease that a worker grants
 	Grace    time.Duration `yaml:"grace"`    // time from the request to stop until the process is killed
 	Keep     time.Duration `yaml:"keep"`     // how long the states of ended jobs can be queried
+	Revoke   time.Duration `yaml:"revoke"`   // time after which a revoked key must not be served; 0 for no limit
+	Apply    time.Duration `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
 	Level    string        `yaml:"level"`    // log level: error, warning, info or debug
@@ -69,7 +71,7 @@
 // its position, which the YAML decoder does not report for durations.
 func invalidDurations(file string, data []byte) ValidationErrors {
 	var all ValidationErrors
-	for _, key := range []string{"lease", "grace", "keep"} {
+	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply"} {
 		node, err := lookupNode(data, key)
 		if err != nil {
 			continue // validate reports missing keys
@@ -128,6 +130,8 @@
 	}{{"lease", c.Lease}, {"grace", c.Grace}, {"keep", c.Keep}} {
 		check(d.value > 0, d.key, d.value, allowedDuration)
 	}
+	check(c.Revoke >= 0, "revoke", c.Revoke, allowedLimit)
+	check(c.Apply >= 0, "apply", c.Apply, allowedLimit)
 	check(c.Share > 0, "share", c.Share, "a number above 0")
 	check(c.Memory > 0, "memory", c.Memory, "a number above 0")
 	_, err := logrus.ParseLevel(c.Level)
--- a/internal/loader/cell_test.go
+++ b/internal/loader/cell_test.go
@@ -34,6 +34,11 @@
 	assert.Equal(t, c.Listen.Peers, "10.1.0.13:7720")
 	assert.Equal(t, c.Level, "info")
 	assert.Equal(t, c.Memory, int64(284))
+	assert.Equal(t, c.Revoke, time.Duration(0))
+	bounded, err := loader.ParseCell("f", []byte(cell+"revoke: 5000ms\n\napply: 3000ms\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, bounded.Revoke, 5*time.Second)
+	assert.Equal(t, bounded.Apply, 3*time.Second)
 }
 
 // Errors must give the line and column of the invalid value.
@@ -46,6 +51,8 @@
 		{"grace: 6s", "grease: 6s", "11"},
 		{"zone: a", "zone: [", ""},
 		{"memory: 284", "level: loud", "level"},
+		{"keep: 120s", "keep: 120s\nrevoke: -1s", "f:13:9: revoke"},
+		{"keep: 120s", "keep: 120s\napply: soon", "f:13:8: apply"},
 	} {
 		_, err := loader.ParseCell("f", []byte(strings.Replace(cell, c.old, c.new, 1)))
 		assert.Assert(t, err != nil, c.new)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -72,6 +72,9 @@
 	Values   []Value
 	Next     int64 // offset of the next read
 	Snapshot bool  // the newest values of all names instead of changes
+
+	Sent     time.Duration // reading of the follower's clock before the read was sent
+	Complete bool          // nothing else was in the stream when the read was sent
 }
 
 // Follower follows one stream. Fill in the fields, then call Serve.
@@ -84,6 +87,7 @@
 	From        int64                // offset to start at; negative: read the newest values first
 	Handle      func(Batch)          // called with each batch, in order
 	OnError     func(error)          // called with the error of each failed read; may be nil
+	Clock       func() time.Duration // tells when reads are sent; may be nil
 
 	backoff time.Duration
 }
@@ -117,12 +121,17 @@
 func (f *Follower) String() string { return "follower of " + f.Stream }
 
 func (f *Follower) read(ctx context.Context, next int64) (Batch, error) {
+	var sent time.Duration
+	if f.Clock != nil {
+		sent = f.Clock()
+	}
 	if next < 0 {
 		values, end, err := f.Reader.Newest(ctx, f.Stream)
-		return Batch{f.Stream, values, end, true}, err
+		return Batch{Stream: f.Stream, Values: values, Next: end, Snapshot: true, Sent: sent, Complete: true}, err
 	}
-	values, _, err := f.Reader.Read(ctx, f.Stream, next, f.PollTimeout)
-	return Batch{f.Stream, values, next + int64(len(values)), false}, err
+	values, end, err := f.Reader.Read(ctx, f.Stream, next, f.PollTimeout)
+	next += int64(len(values))
+	return Batch{Stream: f.Stream, Values: values, Next: next, Sent: sent, Complete: next == end}, err
 }
 
 // handleError reports a failed read, waits for the backoff and returns the offset
