Hold starts back that would pass the cap of their workspace

Change: internal/bookkeeper keeps an account of what each workspace may have running and decides whether starts fit under its cap. The leader changes it where it changes the workers' totals, asks it before it places a run or a gang and again before it orders the start, and parks steps that don't fit, by workspace and need, until use sinks or caps change. Jobs without a workspace cost a comparison. TestCoreIsPure covers the new package. The package is named by an agent noun, as the check wants.

The simulation of the leader draws workspaces, lagging configurations and changes of caps; its observer counts what the simulated workers execute.

--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -59,6 +59,13 @@
 	}
 	t.placementDue, t.lastPass = false, t.now
 	t.placeAll()
+	if t.released.Len() > 0 {
+		t.placementDue = true
+		if !t.wakePending && t.pace.room(t.starting, true) {
+			t.wakePending = true
+			t.emit(Wake{After: max(pause, releaseInterval)})
+		}
+	}
 }
 
 func (e Batch) apply(t *transition) {
@@ -88,7 +95,7 @@
 
 // Counts returns a summary of the state at time now.
 func (s State) Counts(now time.Time) Counts {
-	c := Counts{Jobs: s.jobs.Len(), WaitingSteps: s.waiting.Len(), AdviceCalls: s.adviceCalls.Len(), Callers: s.callers.Len(), Starting: s.pace.last, PaceLimit: s.pace.limit}
+	c := Counts{Jobs: s.jobs.Len(), WaitingSteps: s.waiting.Len() + s.parkedSteps, AdviceCalls: s.adviceCalls.Len(), Callers: s.callers.Len(), Starting: s.pace.last, PaceLimit: s.pace.limit}
 	for _, caller := range s.callers.All() {
 		if caller.idle(now) {
 			c.IdleCallers++
@@ -158,6 +165,7 @@
 func (t *transition) removeJob(job ActiveJob) {
 	id := job.Job.ID
 	t.active.remove(string(id))
+	t.accountJob(job.Job, -1)
 	t.dueRounds = t.dueRounds.Without(string(id))
 	for round := range job.Progress.Rounds {
 		for step := range job.Job.Steps {
@@ -199,6 +207,7 @@
 func (t *transition) putPlacement(w Worker, p Placement) Worker {
 	if !w.Placements.Has(p.key()) {
 		t.addRuns(p.Task.Job, 1)
+		t.accountRun(p, 1)
 	}
 	w = w.WithPlacement(p)
 	t.setWorker(w)
@@ -208,8 +217,9 @@
 // removePlacement removes a placement, whose run is known to have ended, from a
 // worker and returns the worker.
 func (t *transition) removePlacement(w Worker, p Placement) Worker {
-	if w.Placements.Has(p.key()) {
+	if counted, ok := w.Placements.Get(p.key()); ok {
 		t.addRuns(p.Task.Job, -1)
+		t.accountRun(counted, -1)
 	}
 	w = w.WithoutPlacement(p.key())
 	t.setWorker(w)
@@ -283,6 +293,9 @@
 	if why == "" && job.Job.Steps[p.Task.Step].Gang {
 		why = t.gangObstacle(job, p)
 	}
+	if why == "" {
+		why = t.capObstacle(job, p)
+	}
 	if why != "" {
 		t.removePlacement(w, p)
 		t.requeue(p, "")
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -35,6 +35,7 @@
 		job.Progress = ledger.NewProgress(e.Job)
 	}
 	t.active.set(string(e.Job.ID), job)
+	t.accountJob(e.Job, 1)
 	if e.Progress != nil {
 		t.inheritRuns(job)
 	} else {
@@ -74,7 +75,7 @@
 					Task: ledger.TaskID{Job: job.Job.ID, Round: round, Step: step, Index: index}, Run: task.Run,
 					Stage: Inherited, Size: job.Job.Steps[step].Reservation(), Checkpoint: task.Checkpoint, SentAt: t.now,
 					BestEffort: job.Job.Steps[step].BestEffort, LatencyTarget: job.Job.Steps[step].LatencyTarget, Throttle: Throttle{Unknown: true},
-					Preemptible: isPreemptible(job.Job, step), Urgent: isUrgent(job.Job, step),
+					Preemptible: isPreemptible(job.Job, step), Urgent: isUrgent(job.Job, step), Workspace: job.Job.Workspace,
 				})
 			}
 		}
@@ -130,6 +131,9 @@
 				t.readySince = t.readySince.With(key, t.now)
 			}
 			score := t.urgency(job, round, step)
+			if t.rankParked(key, score) {
+				continue
+			}
 			t.waiting = t.waiting.With(key, score)
 			if job.Job.Steps[step].LongRunning {
 				t.services = t.services.With(key, score)
@@ -142,6 +146,7 @@
 func (t *transition) unrankStep(key string) {
 	t.waiting, t.services, t.readySince, t.retryAt = t.waiting.Without(key), t.services.Without(key), t.readySince.Without(key), t.retryAt.Without(key)
 	t.fullTurns, t.searchTurns = t.fullTurns.Without(key), t.searchTurns.Without(key)
+	t.forgetHeld(key)
 }
 
 // rankForPrefetch adds a step to those whose advice is requested ahead of time if
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,6 +43,7 @@
 	nextLeases time.Time // earliest time of the next one
 
 	workspaces workspaces
+	capacities
 
 	batch          int64 // number of the last batch of log records
 	committed      int64 // number of the last one in the log
@@ -145,6 +146,7 @@
 	Checkpoint    string
 	Ticket        string
 	TicketExpiry  time.Time     // zero without a ticket
+	Workspace     string        // that the run counts against, empty for none
 	BestEffort    bool          // uses only processor time that other tasks leave idle
 	LatencyTarget time.Duration // bound on its response times, 0 for none
 	FromStart     bool          // this leader started the task without a checkpoint
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -60,6 +60,9 @@
 	if r.spec().Gang && !p.fitsEmpty(r, have, idle) {
 		return nil
 	}
+	if !r.spec().Gang {
+		idle = p.worthAsking(r, idle)
+	}
 	candidates := p.nominees(r, have, idle)
 	heap.Init(&candidates)
 	var chosen []int32
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -72,7 +72,7 @@
 		"accept": func(t *rapid.T) {
 			if len(sm.jobs) < 12 {
 				id := ledger.ID(fmt.Sprintf("j%d", len(sm.jobs)))
-				sm.jobs[id] = drawJob(t, id, sm.now)
+				sm.jobs[id] = sm.caps.drawWorkspace(t, drawJob(t, id, sm.now))
 				sm.apply(leader.Accepted{Job: sm.jobs[id]})
 			}
 		},
@@ -146,6 +146,11 @@
 			}
 		},
 		"time": func(*rapid.T) { sm.advance(time.Duration(1+pick(20)) * 100 * time.Millisecond) },
+		"caps": func(t *rapid.T) {
+			if pick(4) == 0 {
+				sm.changeCaps(t)
+			}
+		},
 		"advise": func(*rapid.T) {
 			if len(sm.adviceCalls) > 0 {
 				sm.answerAdvice()
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -34,7 +34,9 @@
 
 // placeAll places the idle tasks of all waiting steps, the most urgent first.
 func (t *transition) placeAll() {
+	t.releaseSteps()
 	if t.waiting.Len() == 0 && t.prefetch.Len() == 0 {
+		t.settleReleased()
 		return
 	}
 	t.fleet.save()
@@ -48,6 +50,7 @@
 	for _, id := range p.rerank {
 		p.rankSteps(id)
 	}
+	p.settleReleased()
 	p.prefetchAdvice()
 	p.fullTurns, p.searchTurns = p.fullSteps.Left(), p.failedSearches.Left()
 }
@@ -145,6 +148,10 @@
 	if p.jobState(r.job.Job.ID).Final() {
 		return
 	}
+	if !p.fitsCap(r) {
+		p.park(r)
+		return
+	}
 	held, ok := p.heldTickets(r)
 	if !ok {
 		return
@@ -165,6 +172,10 @@
 		if !r.spec().LongRunning && !p.mayStart() {
 			return
 		}
+		if !p.fitsCap(r) {
+			p.park(r)
+			return
+		}
 		id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 		i := p.pick(r, task, eligible, counts, "")
 		if i < 0 {
@@ -318,6 +329,7 @@
 		Task: id, Run: run, Incarnation: w.ReportedIncarnation, Stage: Recording, PlacedAt: p.now, Size: spec.Reservation(), Checkpoint: task.Checkpoint, Ticket: held[c.ID].value, TicketExpiry: held[c.ID].expiry,
 		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, Preemptible: isPreemptible(job.Job, id.Step),
 		Urgent:    isUrgent(job.Job, id.Step),
+		Workspace: job.Job.Workspace,
 		FromStart: task.Checkpoint == "",
 	}
 	p.putPlacement(w, placed)
@@ -351,6 +363,7 @@
 			missing++
 		}
 	}
+	missing = p.underCap(r, missing)
 	for _, i := range eligible {
 		id := p.slots[i].ID
 		for missing > 0 && p.belowLimit(r, id, counts) && p.makeRoom(i, size) {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -244,7 +244,7 @@
 	}
 	p := Placement{Task: id, Run: r.Number, Stage: Running, AnsweredAt: t.now, StartedAt: t.now, Checkpoint: r.Checkpoint}
 	if job, ok := t.active.get(string(id.Job)); ok && id.Step < len(job.Job.Steps) {
-		p.Size = job.Job.Steps[id.Step].Reservation()
+		p.Size, p.Workspace = job.Job.Steps[id.Step].Reservation(), job.Job.Workspace
 	}
 	w = t.putPlacement(w, p)
 	return t.stopRun(w, p, "the run has no placement")
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -90,6 +90,7 @@
 	order    leader.Order
 	epoch    int64
 	leaseEnd time.Time
+	version  int // of the configuration that the leader knew
 }
 
 // simulation simulates workers, a log and a leader that is replaced at times. It
@@ -118,6 +119,7 @@
 	doneForgotten  map[string]bool // tasks whose end as done was acknowledged and forgotten by the worker
 	failsForgotten map[string]int  // acknowledged and forgotten ends as failed, by task
 	starts         int
+	caps           simCaps
 	pause          time.Duration // between placement passes
 	wakePending    bool          // a Wake has been emitted and not answered
 	partial        bool          // reports leave out the executing runs
@@ -214,6 +216,7 @@
 	sm.logged, sm.leases, sm.confirmed = leases, nil, sm.now
 	sm.renewed, sm.heard, sm.watches, sm.silences = map[string]bool{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	sm.records, sm.adviceCalls, sm.acked, sm.wakePending, sm.held = nil, nil, map[string]leader.Acknowledge{}, false, nil
+	sm.tellCaps(sm.caps.stale)
 	for _, id := range sm.jobIDs() {
 		e := leader.Accepted{Job: sm.jobs[id]}
 		if p, ok := sm.log[id]; ok {
@@ -266,7 +269,7 @@
 		case leader.RecordLeases:
 			sm.leases = append(sm.leases, f)
 		case leader.Order:
-			sm.orders = append(sm.orders, sentOrder{f, sm.epoch, sm.now.Add(testLease)})
+			sm.orders = append(sm.orders, sentOrder{f, sm.epoch, sm.now.Add(testLease), sm.caps.known})
 		case leader.Acknowledge:
 			sm.acked[f.Worker] = f
 		case leader.Renew:
@@ -348,6 +351,7 @@
 			return leader.Refused
 		}
 		sm.check(target, s.order)
+		sm.checkCap(s)
 		target.leaseEnd = later(target.leaseEnd, s.leaseEnd)
 		target.running[key] = simRun{s.order.Task, s.order.Run, sm.size(s.order.Task), sm.now}
 	}
--- a/internal/leader/workspaces.go
+++ b/internal/leader/workspaces.go
@@ -19,5 +19,6 @@
 	for _, w := range e.Workspaces {
 		t.workspaces.known = t.workspaces.known.With(w.Name, w)
 	}
+	t.changeCaps(e)
 	t.placementDue = true
 }
