--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -85,11 +85,14 @@
 	return r
 }
 
+// unconfirmed is the age of a configuration that no read has confirmed.
+const unconfirmed = -time.Millisecond
+
 // Age returns the time since the read was sent that confirmed the configuration last, or a
 // negative time if none did.
 func (r Reading) Age(now time.Duration) time.Duration {
 	if !r.exists || !r.confirmed {
-		return -1
+		return unconfirmed
 	}
 	return max(now-r.sent, 0)
 }
--- a/internal/authenticator/authenticator_test.go
+++ b/internal/authenticator/authenticator_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// An entry judges keys exactly as long as it would serve them; without workspaces it always does.
+func TestReadingsThatJudge(t *testing.T) {
+	strict := authenticator.Policy{Revoke: revoke, Apply: apply}
+	two := reading(workspace("a", "a1"))
+	assert.Assert(t, two.Judges(strict, sent+4899*time.Millisecond))
+	assert.Assert(t, !two.Judges(strict, sent+4900*time.Millisecond))
+	assert.Assert(t, two.Judges(authenticator.Policy{}, sent+time.Hour))
+	assert.Assert(t, reading().Judges(strict, sent+time.Hour))
+	assert.Assert(t, !authenticator.Reading{}.Judges(strict, sent))
+	assert.Equal(t, authenticator.Reading{}.Age(sent).Milliseconds(), int64(-1))
+}
+
 // The next version takes effect with its keys, at the age of the last one until a read
 // confirms it. The last version is unchanged.
 func TestNextVersion(t *testing.T) {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -216,12 +216,16 @@
 // is not.
 func (e *Entry) Available() (bool, string) {
 	s := e.controller.Snapshot()
-	_, configured := e.Config()
+	reading := e.reading.Load()
+	_, configured := reading.Config()
 	switch {
 	case e.draining.Load():
 		return false, "stopping"
 	case !configured:
 		return false, "no configuration yet"
+	case !reading.Judges(e.keyPolicy(), e.Clock()) && (s.Role() == keeper.Leading || e.linker.LeaderReadsLog()):
+		// Others can read the log. If no entry can, all of them stay for those who need no key.
+		return false, "the configuration is too old to check keys"
 	case s.Linked() && s.Role() != keeper.Leading:
 		return true, "" // the leader accepts jobs for this entry
 	case time.Since(s.LastRead()) > maxReadyAge:
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -47,6 +47,7 @@
 	count("advice.asked", func(c leader.Counts) int { return c.AdviceCalls })
 	count("advice.callers", func(c leader.Counts) int { return c.Callers })
 	count("advice.idle", func(c leader.Counts) int { return c.IdleCallers })
+	register("config.age.milliseconds", metrics.NewFunctionalGauge(func() int64 { return e.reading.Load().Age(e.Clock()).Milliseconds() }))
 	register("control.events", metrics.NewFunctionalGauge(func() int64 { n, _ := e.controller.Cost(); return n }))
 	register("control.nanoseconds", metrics.NewFunctionalGauge(func() int64 { _, d := e.controller.Cost(); return int64(d) }))
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -111,16 +111,17 @@
 
 	submitting sync.Mutex // held from reading the linked entries until they are submitted, so that an older set never arrives last
 
-	mu        sync.Mutex
-	entries   map[string]peer   // entries linked to this one, by name
-	version   int64             // rises with each change of entries
-	standbys  []string          // entries that are to be able to take over
-	chosenAt  time.Time         // when the standbys were last determined
-	leader    *jsonrpc2.Conn    // link to the leader, nil if there is none
-	ctx       context.Context   // of Listen, bounds the work for the leader
-	lastRelay string            // entry that last relayed an append for this one
-	addresses map[string]string // last known addresses of entries, by name
-	known     int64             // version of the leader's entries in addresses
+	mu             sync.Mutex
+	entries        map[string]peer   // entries linked to this one, by name
+	version        int64             // rises with each change of entries
+	standbys       []string          // entries that are to be able to take over
+	chosenAt       time.Time         // when the standbys were last determined
+	leader         *jsonrpc2.Conn    // link to the leader, nil if there is none
+	leaderReadsLog bool              // whether the log answers the leader, by its last pong
+	ctx            context.Context   // of Listen, bounds the work for the leader
+	lastRelay      string            // entry that last relayed an append for this one
+	addresses      map[string]string // last known addresses of entries, by name
+	known          int64             // version of the leader's entries in addresses
 }
 
 // peer is an entry that is linked to this one.
@@ -203,11 +204,12 @@
 	}
 	l.Sink.Submit(keeper.StandbysLearned{Epoch: pong.Lead.Epoch, Standby: *pong.Standby})
 	l.Sink.Submit(keeper.PeersSeen{MaxCPUShare: pong.Strongest})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaderReadsLog = pong.ReadsLog
 	if len(pong.Peers) == 0 {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.addresses, l.known = pong.Peers, pong.Version
 }
 
@@ -239,7 +241,7 @@
 	}
 	l.chooseStandbys(s.Self)
 	standby := slices.Contains(l.standbys, sender)
-	pong := pongMessage{Standby: &standby, Version: l.version, Strongest: l.strongest(s.Self), Lead: s.Lead()}
+	pong := pongMessage{Standby: &standby, Version: l.version, Strongest: l.strongest(s.Self), ReadsLog: l.readsLog(), Lead: s.Lead()}
 	if m.Version == l.version {
 		return pong, nil
 	}
@@ -413,7 +415,14 @@
 func (l *Linker) setLeader(rpc *jsonrpc2.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leader = rpc
+	l.leader, l.leaderReadsLog = rpc, false
+}
+
+// LeaderReadsLog reports whether there is a link to a leader that the log answers.
+func (l *Linker) LeaderReadsLog() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaderReadsLog
 }
 
 // errNoLeader is the error of a call while there is no link to a leader.
--- a/internal/linker/messages.go
+++ b/internal/linker/messages.go
@@ -47,6 +47,7 @@
 	Version   int64               `json:"version,omitempty"`   // rises with each change of the linked entries
 	Peers     map[string]string   `json:"peers,omitempty"`     // addresses of the linked entries by name, if the version has changed
 	Strongest float64             `json:"strongest,omitempty"` // largest strength of the linked entries and the leader
+	ReadsLog  bool                `json:"log,omitempty"`       // whether the log has answered the leader lately
 	Lead      keeper.LeaderRecord `json:"lead"`                // who leads, as the answering entry knows it
 }
 
