--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/endivelock/endivelock/internal/bookkeeper"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
 )
@@ -62,6 +63,11 @@
 		e.Registry.Each(func(name string, metric any) {
 			lines = append(lines, formatMetric("endivelock_"+strings.ReplaceAll(name, ".", "_"), metric)...)
 		})
+		if s := e.controller.Snapshot(); s.Role() == keeper.Leading {
+			for _, w := range s.Leader().Standings(maxShownWorkspaces) {
+				lines = append(lines, formatStanding(w)...)
+			}
+		}
 		slices.Sort(lines)
 		if _, err := io.WriteString(w, strings.Join(lines, "\n")+"\n"); err != nil {
 			e.logger.WithError(err).Debug("writing the metrics failed")
@@ -69,6 +75,22 @@
 	})
 }
 
+// maxShownWorkspaces bounds the workspaces that have metrics and are logged, those that use
+// most of their cap.
+const maxShownWorkspaces = 20
+
+// formatStanding returns the metrics of a workspace.
+func formatStanding(w bookkeeper.Standing) []string {
+	var lines []string
+	for _, m := range []struct {
+		name  string
+		value int64
+	}{{"runs", int64(w.Use.Runs)}, {"cpu", w.Use.Size.CPU}, {"memory", w.Use.Size.Memory}, {"gpu", w.Use.Size.GPU}, {"cpu_cap", w.Cap.CPU}, {"memory_cap", w.Cap.Memory}, {"gpu_cap", w.Cap.GPU}} {
+		lines = append(lines, fmt.Sprintf("endivelock_workspace_%s{workspace=%q} %d", m.name, w.Name, m.value))
+	}
+	return lines
+}
+
 // formatMetric returns the lines of a metric in the Prometheus text format.
 func formatMetric(name string, metric any) []string {
 	switch m := metric.(type) {
@@ -101,10 +123,15 @@
 		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded, "silentruns": c.SilentRuns,
 		"asks": c.AdviceCalls, "callers": c.Callers, "idle": c.IdleCallers, "pace": c.PaceLimit, "starting": c.Starting, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
 	}).Info("cell")
+	for _, w := range s.Leader().Standings(maxShownWorkspaces) {
+		e.logger.WithFields(logrus.Fields{
+			"epoch": s.Lead().Epoch, "workspace": w.Name, "runs": w.Use.Runs, "cpu": w.Use.Size.CPU, "cpucap": w.Cap.CPU, "memory": w.Use.Size.Memory, "memorycap": w.Cap.Memory, "gpu": w.Use.Size.GPU, "gpucap": w.Cap.GPU,
+		}).Info("workspace")
+	}
 	for _, w := range s.Leader().Waits(now, longWait, maxLoggedWaits) {
 		e.logger.WithFields(logrus.Fields{
 			"epoch": s.Lead().Epoch, "job": string(w.Job), "task": w.Step, "queue": w.Queue, "waitms": now.Sub(w.Since).Milliseconds(), "ahead": w.Ahead,
-			"tasks": w.Idle, "places": w.Places, "asking": w.Asking, "permitted": w.Permitted, "denied": w.Denied, "tickets": w.Tickets,
+			"tasks": w.Idle, "places": w.Places, "asking": w.Asking, "permitted": w.Permitted, "denied": w.Denied, "tickets": w.Tickets, "workspace": w.Workspace, "cap": w.Cap,
 		}).Info("step waits")
 	}
 }
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -33,6 +33,7 @@
 	percent        int     // progress reported for each run
 	adviceDelayed  bool    // advice calls are not answered
 	unanswered     []unanswered
+	holds          int // decisions that a step waits for its cap
 }
 
 // unanswered is an advice call that has not been answered.
@@ -107,6 +108,10 @@
 				h.running[f.Task.String()] = f.Worker
 				h.apply(leader.OrderAnswered{Worker: f.Worker, Kind: f.Kind, Task: f.Task, Run: f.Run})
 			}
+		case leader.Decision:
+			if f.What == "hold" {
+				h.holds++
+			}
 		case leader.RequestAdvice:
 			h.queried = append(h.queried, f.Workers)
 			if h.adviceDelayed {
--- a/internal/leader/caps.go
+++ b/internal/leader/caps.go
@@ -188,6 +188,16 @@
 	return true
 }
 
+// isParked reports whether the cap of its workspace holds a step back.
+func (c capacities) isParked(key string) bool {
+	h, _ := c.held.Get(key)
+	return h.need != ""
+}
+
+// Standings returns what the workspaces that use most of their cap may have running, at most
+// limit.
+func (s State) Standings(limit int) []bookkeeper.Standing { return s.account.Largest(limit) }
+
 // forgetHeld removes a step that no longer waits from those that a cap has held back.
 func (t *transition) forgetHeld(key string) {
 	if t.held.Len() == 0 {
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -116,46 +116,55 @@
 
 // startable returns a step that has idle tasks and fits, though nothing of its job runs.
 func (c *calmCell) startable() string {
-	for id, job := range c.jobs {
-		if c.now.Sub(c.active[id]) < stillTime {
-			continue
-		}
-		step := job.Steps[0]
-		free := map[string]ledger.Resources{}
-		here := map[string]int{}
-		for i := range c.workers {
-			free[fmt.Sprintf("w%02d", i)] = c.room
-		}
-		for task, at := range c.running {
-			other, _ := ledger.ParseTaskID(task)
-			free[at] = free[at].Minus(c.jobs[other.Job].Steps[other.Step].Reservation())
-			if other.Job == id {
-				here[at]++
-			}
+	for id := range c.jobs {
+		if found := c.startableJob(id); found != "" {
+			return found
 		}
-		idle, places := 0, 0
-		for i := range step.Count {
-			if task := fmt.Sprintf("%s.0.0.%d", id, i); !c.done[task] && c.running[task] == "" {
-				idle++
-			}
+	}
+	return ""
+}
+
+// startableJob returns the step of a job as startable does.
+func (c *calmCell) startableJob(id ledger.ID) string {
+	job := c.jobs[id]
+	if c.now.Sub(c.active[id]) < stillTime {
+		return ""
+	}
+	step := job.Steps[0]
+	free := map[string]ledger.Resources{}
+	here := map[string]int{}
+	for i := range c.workers {
+		free[fmt.Sprintf("w%02d", i)] = c.room
+	}
+	for task, at := range c.running {
+		other, _ := ledger.ParseTaskID(task)
+		free[at] = free[at].Minus(c.jobs[other.Job].Steps[other.Step].Reservation())
+		if other.Job == id {
+			here[at]++
 		}
-		for worker, left := range free {
-			if job.Queue.Advice != nil && !c.permits(string(id)+".0.0", worker) {
-				continue
-			}
-			fits := int(left.CPU / step.Request.CPU)
-			if step.MaxPerWorker > 0 {
-				fits = min(fits, step.MaxPerWorker-here[worker])
-			}
-			places += max(fits, 0)
+	}
+	idle, places := 0, 0
+	for i := range step.Count {
+		if task := fmt.Sprintf("%s.0.0.%d", id, i); !c.done[task] && c.running[task] == "" {
+			idle++
 		}
-		needs := 1
-		if step.Gang {
-			needs = step.Count
+	}
+	for worker, left := range free {
+		if job.Queue.Advice != nil && !c.permits(string(id)+".0.0", worker) {
+			continue
 		}
-		if idle > 0 && places >= 2*needs {
-			return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
+		fits := int(left.CPU / step.Request.CPU)
+		if step.MaxPerWorker > 0 {
+			fits = min(fits, step.MaxPerWorker-here[worker])
 		}
+		places += max(fits, 0)
+	}
+	needs := 1
+	if step.Gang {
+		needs = step.Count
+	}
+	if idle > 0 && places >= 2*needs {
+		return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
 	}
 	return ""
 }
--- a/internal/leader/waits.go
+++ b/internal/leader/waits.go
@@ -14,13 +14,15 @@
 	Step      string // key of the step
 	Queue     string
 	Since     time.Time
-	Ahead     int  // waiting steps that rank before it
+	Ahead     int  // waiting steps that rank before it, 0 while its cap holds it back
 	Idle      int  // tasks that wait
 	Places    int  // tasks that fit at the usable workers of its service, without those known to be denied
 	Asking    bool // an advice call is in progress
 	Permitted int  // workers known to be permitted
 	Denied    int  // workers known to be denied
 	Tickets   int  // valid tickets
+	Workspace string
+	Cap       string // the use and the cap that it waits for, empty if it doesn't
 }
 
 // Waits returns the steps that have waited for at least a time, the longest first, up
@@ -28,7 +30,7 @@
 func (s State) Waits(now time.Time, least time.Duration, limit int) []Wait {
 	var found []Wait
 	for key, since := range s.readySince.All() {
-		if now.Sub(since) >= least && s.waiting.Has(key) {
+		if now.Sub(since) >= least && (s.waiting.Has(key) || s.isParked(key)) {
 			found = append(found, Wait{Step: key, Since: since})
 		}
 	}
@@ -59,7 +61,10 @@
 	if !ok {
 		return
 	}
-	w.Job, w.Queue, w.Idle = r.job.Job.ID, r.job.Job.Queue.Name, p.countIdle(r)
+	w.Job, w.Queue, w.Idle, w.Workspace = r.job.Job.ID, r.job.Job.Queue.Name, p.countIdle(r), r.job.Job.Workspace
+	if !p.fitsCap(r) {
+		w.Cap = p.capReason(w.Workspace)
+	}
 	have, _ := p.permits.Get(w.Step)
 	w.Asking = have.calling
 	for _, permitted := range have.known {
--- a/internal/leader/waits_test.go
+++ b/internal/leader/waits_test.go
@@ -33,3 +33,16 @@
 	assert.Equal(t, h.state.Counts(h.now).Callers, 4)
 	assert.Equal(t, h.state.Counts(h.now).IdleCallers, 4)
 }
+
+// Guards against a step that waits for its cap and is taken for one without room.
+func TestWaitsTellWhichCapAStepWaitsFor(t *testing.T) {
+	h := newHarness(t, 4, ledger.Resources{CPU: 8000, Memory: 8000})
+	h.capCPU(7, 2000)
+	h.submitIn("a", "j", ledger.Queue{Name: "q"}, plainStep(3, 1000))
+	h.advance(5 * time.Second)
+	waits := h.state.Waits(h.now, 3*time.Second, 8)
+	assert.Equal(t, len(waits), 1)
+	assert.Equal(t, waits[0].Cap, "workspace a uses cpu=2000 memory=0 gpu=0 of cap cpu=2000 memory=0 gpu=0 (configuration 7)")
+	assert.Equal(t, h.holds, 1, "one line a step")
+	assert.Equal(t, h.state.Standings(20)[0].Use.Runs, 2)
+}
