Order jobs by the shares of workspaces, and refuse what can't be of use

Cause: a workspace that sends many times its usual delayed all others. Nothing knew a weight: steps went by priority and latest start alone.

Change: internal/sharer judges each accepted job by virtual time: within its workspace's share or beyond. Those beyond go behind all others and leave room to the steps within that wait; among those within, a workspace that is ahead of its part of the cell counts as due later. Preemption takes from those beyond first. A job beyond is turned away (429, Retry-After from its own backlog and weight) when nothing has room for it and it would be done later than three times its objective (internal/estimator, internal/commands/gatekeeper).

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,6 +30,7 @@
 	InvalidTicket                // the ticket is not valid
 	StaleRun                     // the worker knows this run or a later one
 	DeadlineExceeded             // the deadline has passed
+	BeyondShare                  // the workspace has used up its share; RetryAfter says when to come again
 )
 
 func names() map[Kind]string {
@@ -36,7 +38,7 @@
 		Unanswered: "no answer", Unsent: "no connection", Busy: "busy", Refused: "refused", Fenced: "fenced",
 		OutOfSequence: "wrong sequence number", OffsetMismatch: "log has moved on", Trimmed: "records are gone",
 		Replaced: "another instance", NoRoom: "no room", InvalidTicket: "ticket does not hold", StaleRun: "run is not newer",
-		DeadlineExceeded: "deadline has passed",
+		DeadlineExceeded: "deadline has passed", BeyondShare: "beyond the share of the workspace",
 	}
 }
 
@@ -55,6 +57,8 @@
 	Reason string // reason that the server gave
 	Number int64  // meaning depends on the kind
 	Cause  error  // may be nil
+
+	RetryAfter time.Duration // when another attempt may succeed, 0 if that is not known
 }
 
 var _ error = (*Error)(nil)
@@ -99,3 +103,12 @@
 
 // NotExecuted reports whether a failed call is known to have had no effect.
 func NotExecuted(err error) bool { return err != nil && KindOf(err) != Unanswered }
+
+// RetryAfter returns after what time another attempt may succeed, or 0 if that is not known.
+func RetryAfter(err error) time.Duration {
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.RetryAfter
+	}
+	return 0
+}
--- a/internal/commands/acceptor/acceptor.go
+++ b/internal/commands/acceptor/acceptor.go
@@ -34,11 +34,26 @@
 	Add(ctx context.Context, v replicator.Value) error
 }
 
+// Submitter hands jobs that count against a workspace to the leader.
+type Submitter interface {
+	// Submit is Journal.Add. The leader may turn the job away with an error of kind
+	// classifier.BeyondShare.
+	Submit(ctx context.Context, v replicator.Value, c ledger.Claim) error
+}
+
+// Gate decides whether this entry takes in a job while it leads.
+type Gate interface {
+	// Admit returns an error of kind classifier.BeyondShare if the job is turned away.
+	Admit(id ledger.ID, c ledger.Claim) error
+}
+
 // Acceptor writes jobs and cancellations.
 type Acceptor struct {
-	Leader Journal // journal of the leader, over the link to it
-	Own    Journal // journal of this entry
-	Logger logrus.FieldLogger
+	Leader    Journal   // journal of the leader, over the link to it
+	Own       Journal   // journal of this entry
+	Submitter Submitter // the leader, for jobs that count against a workspace; nil for Leader
+	Gate      Gate      // nil admits all
+	Logger    logrus.FieldLogger
 }
 
 // Accept writes a job and returns when it is in the log. An error of kind
@@ -48,18 +63,64 @@
 	if err != nil {
 		return &classifier.Error{Kind: classifier.Refused, Call: "accept", Cause: err}
 	}
-	return a.write(ctx, v, j.ID, "accept")
+	if j.Workspace == "" {
+		return a.write(ctx, v, j.ID, "accept", a.Leader, a.Own)
+	}
+	return a.write(ctx, v, j.ID, "accept", a.charged(j)...)
+}
+
+// charged returns the journals for a job that counts against a workspace.
+func (a *Acceptor) charged(j ledger.Job) []Journal {
+	lead, own := a.Leader, a.Own
+	if a.Submitter != nil {
+		lead = submitted{a.Submitter, j.Claim()}
+	}
+	if a.Gate != nil {
+		own = gated{a.Own, a.Gate, j.ID, j.Claim()}
+	}
+	return []Journal{lead, own}
+}
+
+// submitted is the journal of the leader for a job with a claim.
+type submitted struct {
+	to    Submitter
+	claim ledger.Claim
+}
+
+var _ Journal = submitted{}
+
+// Add hands the job to the leader.
+func (s submitted) Add(ctx context.Context, v replicator.Value) error {
+	return s.to.Submit(ctx, v, s.claim)
+}
+
+// gated is a journal that adds a job only if the gate admits it.
+type gated struct {
+	Journal
+	gate  Gate
+	id    ledger.ID
+	claim ledger.Claim
+}
+
+var _ Journal = gated{}
+
+// Add adds the job if it is admitted.
+func (g gated) Add(ctx context.Context, v replicator.Value) error {
+	if err := g.gate.Admit(g.id, g.claim); err != nil {
+		return err
+	}
+	return g.Journal.Add(ctx, v)
 }
 
 // Cancel writes the cancellation of a job, with the errors of Accept.
 func (a *Acceptor) Cancel(ctx context.Context, id ledger.ID) error {
-	return a.write(ctx, encoder.Cancellation(id), id, "cancel")
+	return a.write(ctx, encoder.Cancellation(id), id, "cancel", a.Leader, a.Own)
 }
 
 // write tries to write a value through the leader or else directly. It fails at once
 // if no attempt can have reached the log. Once an attempt went unanswered, the
 // value may be in the log, and write retries until a success or the deadline.
-func (a *Acceptor) write(ctx context.Context, v replicator.Value, id ledger.ID, what string) error {
+func (a *Acceptor) write(ctx context.Context, v replicator.Value, id ledger.ID, what string, journals ...Journal) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		bounded, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
@@ -68,19 +129,21 @@
 	var unanswered error
 	for attempt := 1; ; attempt++ {
 		var err error
-		for _, journal := range []Journal{a.Leader, a.Own} {
+		for _, journal := range journals {
 			if err = journal.Add(ctx, v); err == nil {
 				return nil
 			}
 			if !classifier.NotExecuted(err) {
 				unanswered = err
 			}
-			if errors.Is(err, classifier.ErrCongested) {
-				break
+			if errors.Is(err, classifier.ErrCongested) || classifier.Is(err, classifier.BeyondShare) {
+				break // another way in would lead around what the leader has answered
 			}
 		}
 		if unanswered == nil {
-			a.log(id, what, attempt, err).Warn("write failed; nothing was added to the log")
+			if !classifier.Is(err, classifier.BeyondShare) {
+				a.log(id, what, attempt, err).Warn("write failed; nothing was added to the log")
+			}
 			return err
 		}
 		timer.Sleep(ctx, retryPause)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -25,6 +25,7 @@
 	"github.com/endivelock/endivelock/internal/commands/adviser"
 	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/commands/delegator"
+	"github.com/endivelock/endivelock/internal/commands/gatekeeper"
 	"github.com/endivelock/endivelock/internal/commands/recorder"
 	"github.com/endivelock/endivelock/internal/commands/relayer"
 	"github.com/endivelock/endivelock/internal/controller"
@@ -173,7 +174,9 @@
 	e.linker = &linker.Linker{Viewer: e.controller, Sink: e.controller, Journal: e.journal, Adviser: e.adviser, Log: p.Platform, Logger: logger}
 	e.linker.OnAnnounced = func(values []replicator.Value) { e.submitJobs(values, false) }
 	e.relayer.Relay = e.linker
-	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Logger: logger}
+	gate := gatekeeper.New(e.controller, time.Now, logger)
+	e.linker.Gate = gate
+	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Submitter: e.linker, Gate: gate, Logger: logger}
 	e.Inspector = &inspector.Inspector{Viewer: e.controller, Leader: e.linker, Replica: e}
 	e.linker.Inspector = e.Inspector
 	e.deputy = &delegator.Deputy{Workers: p.Workers, Leader: e.linker, Logger: logger, Polls: e.metricTimer("deputy.looks"), Orders: e.metricTimer("deputy.orders")}
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/endivelock/endivelock/internal/leader"
@@ -353,20 +355,47 @@
 	t.emit(LogLeadership{What: "lead", Lead: t.State.lead, Why: "the claim succeeded"})
 	t.emit(StartLeading{Epoch: e.Epoch, Clock: clock, Leases: inherited})
 	t.applyToLeader(leader.WorkspacesChanged(t.config))
-	for id, job := range t.jobs.All() {
-		accepted := leader.Accepted{Job: job}
-		if p, ok := t.progress.Get(id); ok {
-			if p.Terminated() {
-				continue
-			}
-			accepted.Progress = &p
+	t.acceptAll()
+	t.discardEnded()
+}
+
+// acceptAll hands all jobs to the new leader. Those of workspaces come in the order in which
+// they were accepted, ended ones included: each leader thus counts them against the same
+// shares.
+func (t *transition) acceptAll() {
+	var shared []ledger.Job
+	for _, job := range t.jobs.All() {
+		if job.Workspace != "" {
+			shared = append(shared, job)
+			continue
 		}
-		t.applyToLeader(accepted)
-		if t.cancels.Has(id) {
-			t.applyToLeader(leader.CancelAccepted{Job: job.ID})
+		t.accept(job)
+	}
+	slices.SortFunc(shared, func(a, b ledger.Job) int {
+		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	for _, job := range shared {
+		t.accept(job)
+	}
+}
+
+// accept hands a job to the new leader.
+func (t *transition) accept(job ledger.Job) {
+	id := string(job.ID)
+	accepted := leader.Accepted{Job: job}
+	if p, ok := t.progress.Get(id); ok {
+		if p.Terminated() {
+			if job.Workspace != "" {
+				t.applyToLeader(leader.Settled{Job: job})
+			}
+			return
 		}
+		accepted.Progress = &p
+	}
+	t.applyToLeader(accepted)
+	if t.cancels.Has(id) {
+		t.applyToLeader(leader.CancelAccepted{Job: job.ID})
 	}
-	t.discardEnded()
 }
 
 func (e Deposed) apply(t *transition) {
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -111,11 +111,13 @@
 	advice := r.job.Job.Queue.Advice
 	long := advice.PerCall >= longCallTime
 	if p.callersBusy[long] || !p.failedSearches.Allows(r.key) {
+		p.noteFull(r.job)
 		return
 	}
 	caller, ok := p.idleCaller(long)
 	if !ok {
 		p.callersBusy[long] = true // none becomes idle during the pass
+		p.noteFull(r.job)
 		return
 	}
 	queried := p.chooseNominees(r, have)
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -180,6 +180,10 @@
 
 // setJob stores a job whose progress has changed.
 func (t *transition) setJob(job ActiveJob) {
+	if job.Standing.Beyond {
+		old, _ := t.active.get(string(job.Job.ID))
+		t.countWaiting(old, job)
+	}
 	t.active.set(string(job.Job.ID), job)
 	t.markChanged(job.Job.ID)
 }
--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -25,6 +25,8 @@
 	advice    ledger.Advice
 	permitted float64 // fraction of the workers that advice permits
 	burst     burst
+	workspace string     // that its jobs count against
+	rng       *rand.Rand // of its jobs, nil for the cell's
 }
 
 // burst multiplies the rate of a queue for a time.
@@ -42,6 +44,8 @@
 	// eventTime is the time that the control thread takes for an event. Events that
 	// arrive meanwhile wait.
 	eventTime time.Duration
+	// workspaces share the cell.
+	workspaces []ledger.Workspace
 	// effectTime is the time that it takes for each effect of an event, on top of that.
 	effectTime time.Duration
 }
@@ -49,6 +53,7 @@
 // cellResult is what became of the jobs of a queue.
 type cellResult struct {
 	jobs, inAim, late int // jobs asked for, ended within the objective, and within three times the objective
+	refused           int // jobs turned away
 }
 
 // simulatedCell drives a leader with the load of a cell. The same seed gives the same
@@ -141,6 +146,9 @@
 	}
 	c.now = c.start
 	c.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: 10 * time.Millisecond}, c.now)
+	if len(load.workspaces) > 0 {
+		c.apply(leader.WorkspacesChanged{Version: 1, Workspaces: load.workspaces})
+	}
 	for i := range load.workers {
 		name := fmt.Sprintf("w%04d", i)
 		c.names = append(c.names, name)
@@ -193,12 +201,20 @@
 	if since := c.now.Sub(c.start); since >= q.burst.from && since < q.burst.until {
 		rate *= q.burst.factor
 	}
-	c.at(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+	c.at(time.Duration(c.random(q).ExpFloat64()/rate*float64(time.Second)), func() {
 		c.submit(q)
 		c.arrive(q)
 	})
 }
 
+// random returns the source of a queue's jobs.
+func (c *simulatedCell) random(q *queueLoad) *rand.Rand {
+	if q.rng != nil {
+		return q.rng
+	}
+	return c.rng
+}
+
 func (c *simulatedCell) submit(q *queueLoad) {
 	c.order++
 	id := ledger.ID(fmt.Sprintf("%s%d", q.name, c.order))
@@ -208,16 +224,23 @@
 		c.results[q.name] = r
 	}
 	advice := q.advice
-	job := ledger.Job{ID: id, Accepted: c.now, Queue: ledger.Queue{
+	job := ledger.Job{ID: id, Accepted: c.now, Workspace: q.workspace, Queue: ledger.Queue{
 		Name: q.name, Service: "s", Priority: q.priority, Stretch: q.stretch, Objective: q.objective, Advice: &advice,
 	}}
 	for i := range q.steps {
-		step := ledger.Step{Count: max(1, int(float64(q.width)*(0.5+c.rng.Float64()))), Request: q.size, Estimate: q.run, Checkpoint: q.priority > 0}
+		step := ledger.Step{Count: max(1, int(float64(q.width)*(0.5+c.random(q).Float64()))), Request: q.size, Estimate: q.run, Checkpoint: q.priority > 0}
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	if _, refused := c.state.Refuses(job.Claim(), c.now); refused {
+		if r := c.results[q.name]; counted {
+			r.refused++
+			c.results[q.name] = r
+		}
+		return
+	}
 	aim := time.Duration(q.stretch*float64(job.CriticalPath())) + q.objective
 	c.jobs[id] = simulatedJob{q, c.now, aim, counted}
 	c.apply(leader.Accepted{Job: job})
--- a/internal/leader/headroom.go
+++ b/internal/leader/headroom.go
@@ -77,15 +77,15 @@
 	}
 }
 
-// isUrgent reports whether tasks of a step are of the highest priority and not meant to
-// last.
-func isUrgent(j ledger.Job, step int) bool {
-	return j.Queue.Priority == 0 && !j.Steps[step].LongRunning
+// isUrgent reports whether tasks of a step are of the highest priority, within the share of
+// their workspace, and not meant to last.
+func isUrgent(j ActiveJob, step int) bool {
+	return j.Job.Queue.Priority == 0 && !j.Standing.Beyond && !j.Job.Steps[step].LongRunning
 }
 
 // mayWaitForRoom reports whether tasks of a step leave the headroom to urgent ones.
 // Services do not: they are meant to last, and would wait for as long as there is other
 // work.
-func mayWaitForRoom(j ledger.Job, step int) bool {
-	return j.Queue.Priority > 0 && !j.Steps[step].LongRunning
+func mayWaitForRoom(j ActiveJob, step int) bool {
+	return (j.Job.Queue.Priority > 0 || j.Standing.Beyond) && !j.Job.Steps[step].LongRunning
 }
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -13,6 +13,9 @@
 	// latePenalty ranks steps that can no longer meet their objective behind
 	// those of the same priority that can.
 	latePenalty = 1 << 45
+	// leadWeight is how much later a step counts as due for each second by which its
+	// workspace is ahead of its part of the cell.
+	leadWeight = 2
 	// defaultAttempts is the number of failed runs allowed by a queue that sets no
 	// limit.
 	defaultAttempts = 3
@@ -28,7 +31,7 @@
 			return
 		}
 	}
-	job := ActiveJob{Job: e.Job, ObjectiveEnd: objectiveEnd(e.Job, e.Job.Accepted)}
+	job := ActiveJob{Job: e.Job, ObjectiveEnd: objectiveEnd(e.Job, e.Job.Accepted), Standing: t.charge(e.Job)}
 	if e.Progress != nil {
 		job.Progress = *e.Progress
 	} else {
@@ -36,8 +39,12 @@
 	}
 	t.active.set(string(e.Job.ID), job)
 	t.accountJob(e.Job, 1)
+	t.countWaiting(ActiveJob{}, job)
 	if e.Progress != nil {
 		t.inheritRuns(job)
+		if job.Progress.State != ledger.Queued {
+			t.noteBegun(job.Job, job.Standing)
+		}
 	} else {
 		t.emit(Decision{What: "accept", Job: e.Job.ID, Why: e.Job.Queue.Name})
 	}
@@ -53,8 +60,7 @@
 
 // objectiveEnd returns the deadline of a job's objective, counted from a time.
 func objectiveEnd(j ledger.Job, from time.Time) time.Time {
-	stretched := time.Duration(max(j.Queue.Stretch, 1) * float64(j.CriticalPath()))
-	return from.Add(stretched + j.Queue.Objective)
+	return from.Add(j.ObjectiveTime())
 }
 
 // inheritRuns adds placements for the runs that an earlier leader recorded. Each
@@ -75,7 +81,7 @@
 					Task: ledger.TaskID{Job: job.Job.ID, Round: round, Step: step, Index: index}, Run: task.Run,
 					Stage: Inherited, Size: job.Job.Steps[step].Reservation(), Checkpoint: task.Checkpoint, SentAt: t.now,
 					BestEffort: job.Job.Steps[step].BestEffort, LatencyTarget: job.Job.Steps[step].LatencyTarget, Throttle: Throttle{Unknown: true},
-					Preemptible: isPreemptible(job.Job, step), Urgent: isUrgent(job.Job, step), Workspace: job.Job.Workspace,
+					Preemptible: isPreemptible(job, step), Urgent: isUrgent(job, step), Workspace: job.Job.Workspace, Beyond: job.Standing.Beyond,
 				})
 			}
 		}
@@ -181,8 +187,9 @@
 }
 
 // urgency returns the score of a waiting step, lowest first: by priority, then
-// steps that can still meet their objective, each by the latest time at which it
-// may start.
+// steps that can still meet their objective, then those that can't, each by the latest
+// time at which it may start; behind all of them those beyond the share of their workspace,
+// by priority and turn.
 func (t *transition) urgency(job ActiveJob, round, step int) int64 {
 	end := job.ObjectiveEnd
 	if at := job.Job.Due(round); !at.IsZero() {
@@ -190,10 +197,16 @@
 	}
 	latest := end.Add(-job.Job.CriticalPathFrom(step))
 	score := int64(job.Job.Queue.Priority) * priorityWeight
-	if !job.Job.Steps[step].LongRunning && latest.Before(t.now.Add(t.lateMargin())) {
+	if job.Job.Steps[step].LongRunning {
+		return score + latest.UnixMilli()
+	}
+	if job.Standing.Beyond {
+		return (maxPriority+1)*priorityWeight + score + job.Standing.Turn.UnixMilli()
+	}
+	if latest.Before(t.now.Add(t.lateMargin())) {
 		score += latePenalty
 	}
-	return score + latest.UnixMilli()
+	return score + latest.UnixMilli() + leadWeight*job.Standing.Tag.Lead.Milliseconds()
 }
 
 func (e CancelAccepted) apply(t *transition) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -23,6 +23,7 @@
 	"github.com/endivelock/endivelock/internal/container"
 	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/placer"
+	"github.com/endivelock/endivelock/internal/sharer"
 )
 
 // Policy holds the settings that decisions depend on.
@@ -44,6 +45,11 @@
 
 	workspaces workspaces
 	capacities
+	shares   sharer.Shares
+	fair     container.Table[sharer.Fair] // order of the jobs within the shares, by priority
+	backlogs container.Table[backlog]     // of jobs beyond the share of their workspace, by backlogKey
+	beyond   int                          // jobs beyond the share of their workspace that have not ended
+	shortAt  time.Time                    // when a pass last left out steps, since there was no room or too much in progress
 
 	batch          int64 // number of the last batch of log records
 	committed      int64 // number of the last one in the log
@@ -100,6 +106,7 @@
 	Progress     ledger.Progress
 	Runs         int       // runs that may be executing
 	ObjectiveEnd time.Time // deadline of the objective
+	Standing     sharer.Standing
 }
 
 // WithProgress returns the job with p as its progress.
@@ -141,6 +148,7 @@
 	Percent       int       // progress in the last report
 	Measurement   int       // response time in milliseconds or processor use, in the last report
 	ProgressedAt  time.Time // when Percent last changed
+	SavedAt       time.Time // when Checkpoint last changed
 	StartedAt     time.Time // when the start was confirmed
 	Throttle      Throttle  // of a best-effort task
 	Checkpoint    string
@@ -151,7 +159,8 @@
 	LatencyTarget time.Duration // bound on its response times, 0 for none
 	FromStart     bool          // this leader started the task without a checkpoint
 	Preemptible   bool          // may be stopped for a task of the highest priority
-	Urgent        bool          // of the highest priority, and not meant to last
+	Urgent        bool          // of the highest priority, within the share of its workspace, and not meant to last
+	Beyond        bool          // beyond the share of its workspace
 }
 
 // key identifies the run at its worker.
@@ -196,8 +205,8 @@
 		p.ProgressedAt = now
 	}
 	p.Percent, p.Measurement = r.Percent, r.Measurement
-	if r.Checkpoint != "" {
-		p.Checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != p.Checkpoint {
+		p.Checkpoint, p.SavedAt = r.Checkpoint, now
 	}
 	return p
 }
--- a/internal/leader/overload_test.go
+++ b/internal/leader/overload_test.go
@@ -35,7 +35,7 @@
 		sum.starts += c.starts
 		for queue, r := range c.results {
 			s := sum.results[queue]
-			sum.results[queue] = cellResult{s.jobs + r.jobs, s.inAim + r.inAim, s.late + r.late}
+			sum.results[queue] = cellResult{s.jobs + r.jobs, s.inAim + r.inAim, s.late + r.late, s.refused + r.refused}
 		}
 		for kind, n := range c.kinds {
 			sum.kinds[kind] += n
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -27,6 +27,7 @@
 	rerank         []ledger.ID           // jobs whose steps must be ranked again
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
 	headrooms      map[string]*headroom  // by service; none where no urgent task runs
+	reserves       map[string]*reserve   // by service; none where nothing waits that may go first
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
@@ -60,9 +61,11 @@
 func (p *placementPass) placeWaiting() {
 	for key, score := range p.waiting.From(minScore) {
 		if p.deferrable = deferrable(score); p.deferrable && !p.mayStart() {
+			p.shortAt = p.now
 			break
 		}
 		if !p.visit(key) {
+			p.shortAt = p.now
 			return
 		}
 	}
@@ -80,13 +83,16 @@
 // whether the pass goes on.
 func (p *placementPass) visit(key string) bool {
 	if at, ok := p.retryAt.Get(key); ok && p.now.Before(at) {
+		p.reserveFor(key)
 		return true
 	}
 	if !p.fullSteps.Allows(key) {
+		p.reserveFor(key)
 		return !p.fullSteps.Cut()
 	}
 	if r, ok := p.resolveStep(key); ok {
 		p.placeStep(r)
+		p.reserveFor(key)
 	}
 	return true
 }
@@ -115,6 +121,7 @@
 		pause = min(backlog*urgentRetryPausePerStep, maxUrgentRetryPause)
 	}
 	p.retryAt = p.retryAt.With(r.key, p.now.Add(pause))
+	p.noteFull(r.job)
 }
 
 // minScore is less than the score of every ranked step.
@@ -258,8 +265,11 @@
 // A non-empty rack restricts the choice to that rack.
 func (p *placementPass) pick(r stepRef, task ledger.Task, eligible []int, counts map[string]int, rack string) int {
 	spec := r.spec()
+	if r.job.Standing.Beyond && p.reserves[r.job.Job.Queue.Service].keeps(spec.Reservation()) {
+		return -1
+	}
 	var kept *headroom
-	if mayWaitForRoom(r.job.Job, r.step) {
+	if mayWaitForRoom(r.job, r.step) {
 		kept = p.headrooms[r.job.Job.Queue.Service]
 	}
 	d := placer.Demand{
@@ -323,13 +333,13 @@
 	progress := job.Progress.WithTask(id, task.WithRun(run, c.ID))
 	if progress.State == ledger.Queued {
 		progress = progress.WithState(ledger.Running)
+		p.noteBegun(job.Job, job.Standing)
 	}
 	p.setJob(job.WithProgress(progress))
 	placed := Placement{
 		Task: id, Run: run, Incarnation: w.ReportedIncarnation, Stage: Recording, PlacedAt: p.now, Size: spec.Reservation(), Checkpoint: task.Checkpoint, Ticket: held[c.ID].value, TicketExpiry: held[c.ID].expiry,
-		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, Preemptible: isPreemptible(job.Job, id.Step),
-		Urgent:    isUrgent(job.Job, id.Step),
-		Workspace: job.Job.Workspace,
+		BestEffort: spec.BestEffort, LatencyTarget: spec.LatencyTarget, Preemptible: isPreemptible(job, id.Step),
+		Urgent: isUrgent(job, id.Step), Workspace: job.Job.Workspace, Beyond: job.Standing.Beyond,
 		FromStart: task.Checkpoint == "",
 	}
 	p.putPlacement(w, placed)
@@ -339,6 +349,7 @@
 		p.rerank = append(p.rerank, id.Job)
 	}
 	p.headrooms[c.service].take(c.Free, spec.Reservation())
+	p.reserves[c.service].take(spec.Reservation())
 	c.Free = c.Free.Minus(spec.Reservation())
 	c.freeAfterStops = c.freeAfterStops.Minus(spec.Reservation())
 	c.Serving = c.Serving || spec.LatencyTarget > 0
@@ -364,49 +375,21 @@
 		}
 	}
 	missing = p.underCap(r, missing)
-	for _, i := range eligible {
-		id := p.slots[i].ID
-		for missing > 0 && p.belowLimit(r, id, counts) && p.makeRoom(i, size) {
-			p.slots[i].freeAfterStops = p.slots[i].freeAfterStops.Minus(size)
-			p.markStale(id) // the claim ends with the pass
-			counts[id]++
-			missing--
-		}
-	}
-}
-
-// makeRoom reports whether a candidate will have room for a task of the given
-// size after pending stops, and stops preemptible runs if that is necessary and
-// sufficient.
-func (p *placementPass) makeRoom(i int, size ledger.Resources) bool {
-	c := &p.slots[i]
-	if c.freeAfterStops.CanFit(size) {
-		return true
-	}
-	if !c.freeAfterStops.Plus(c.preemptible).CanFit(size) {
-		return false
-	}
-	w, _ := p.fleet.get(c.ID)
-	free := c.freeAfterStops
-	var victims []Placement
-	for _, placed := range w.Placements.All() {
-		if free.CanFit(size) {
-			break
-		}
-		if placed.Preemptible && placed.Stage == Running && p.now.Sub(placed.StartedAt) >= minRunTime {
-			victims = append(victims, placed)
-			free = free.Plus(placed.Size)
+	take := func(beyond bool) {
+		for _, i := range eligible {
+			id := p.slots[i].ID
+			for missing > 0 && p.belowLimit(r, id, counts) && p.makeRoom(i, size, beyond) {
+				p.slots[i].freeAfterStops = p.slots[i].freeAfterStops.Minus(size)
+				p.markStale(id) // the claim ends with the pass
+				counts[id]++
+				missing--
+			}
 		}
 	}
-	if !free.CanFit(size) {
-		return false
+	if p.shared() {
+		take(true)
 	}
-	for _, v := range victims {
-		w = p.stopRun(w, v, "preempted by a more urgent job")
-		c.preemptible = c.preemptible.Minus(v.Size)
-	}
-	c.freeAfterStops = free
-	return true
+	take(false)
 }
 
 // preemptDelay is how long an urgent step waits for room before it preempts other
@@ -420,8 +403,9 @@
 const minRunTime = time.Second
 
 // isPreemptible reports whether runs of a step may be stopped for urgent tasks:
-// they resume from a checkpoint, and no gang depends on them.
-func isPreemptible(j ledger.Job, step int) bool {
-	s := j.Steps[step]
-	return s.Checkpoint && !s.LongRunning && !s.Gang && j.Queue.Priority > 0
+// they resume from a checkpoint, no gang depends on them, and they are less urgent or beyond
+// the share of their workspace.
+func isPreemptible(j ActiveJob, step int) bool {
+	s := j.Job.Steps[step]
+	return s.Checkpoint && !s.LongRunning && !s.Gang && (j.Job.Queue.Priority > 0 || j.Standing.Beyond)
 }
--- a/internal/leader/pool.go
+++ b/internal/leader/pool.go
@@ -18,6 +18,7 @@
 	excludedUntil  time.Time
 	freeAfterStops ledger.Resources // free capacity after pending stops, less what the pass has claimed
 	preemptible    ledger.Resources // capacity that preemption may free in addition
+	beyond         ledger.Resources // part of preemptible that is beyond the share of its workspace
 	urgent         ledger.Resources // capacity that short urgent tasks use
 	urgentRuns     int              // short urgent tasks
 }
@@ -34,7 +35,7 @@
 			Serving: w.ServingRuns > 0, BestEffort: w.BestEffortRuns > 0,
 		},
 		service: w.Service, labels: w.Labels, open: w.open(), excludedUntil: w.ExcludedUntil,
-		freeAfterStops: free.Plus(w.UsedByStopping), preemptible: w.UsedByPreemptible,
+		freeAfterStops: free.Plus(w.UsedByStopping), preemptible: w.UsedByPreemptible, beyond: w.UsedByBeyond,
 		urgent: w.UsedByUrgent, urgentRuns: w.UrgentRuns,
 	}
 }
--- a/internal/leader/worker.go
+++ b/internal/leader/worker.go
@@ -53,6 +53,7 @@
 	Used                ledger.Resources
 	UsedByStopping      ledger.Resources // part of Used that pending stops will free
 	UsedByPreemptible   ledger.Resources // part of Used that preemption can free
+	UsedByBeyond        ledger.Resources // part of UsedByPreemptible that is beyond the share of its workspace
 	UsedByUrgent        ledger.Resources // part of Used that short urgent tasks use
 	UrgentRuns          int              // short urgent tasks
 	ServingRuns         int              // runs with a latency target
@@ -142,6 +143,9 @@
 		w.UsedByStopping = w.UsedByStopping.Plus(p.Size.Times(n))
 	case p.Preemptible:
 		w.UsedByPreemptible = w.UsedByPreemptible.Plus(p.Size.Times(n))
+		if p.Beyond {
+			w.UsedByBeyond = w.UsedByBeyond.Plus(p.Size.Times(n))
+		}
 	}
 	switch p.Stage {
 	case Stopping:
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/keeper"
+	"github.com/endivelock/endivelock/internal/ledger"
 	"github.com/endivelock/endivelock/internal/replicator"
 )
 
@@ -136,6 +137,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.Claim != nil && l.Gate != nil {
+		if err := l.Gate.Admit(ledger.ID(m.Name), ledger.Claim(*m.Claim)); err != nil {
+			failed := &jsonrpc2.Error{Code: codeBeyond, Message: err.Error()}
+			failed.SetError(refusal{RetryAfter: classifier.RetryAfter(err)})
+			return nil, failed
+		}
+	}
 	bounded, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := l.Journal.Add(bounded, replicator.Value{Name: m.Name, Data: m.Data}); err != nil {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -68,6 +68,12 @@
 	Add(ctx context.Context, v replicator.Value) error
 }
 
+// Gate decides whether this entry takes in a job while it leads.
+type Gate interface {
+	// Admit returns an error of kind classifier.BeyondShare if the job is turned away.
+	Admit(id ledger.ID, c ledger.Claim) error
+}
+
 // Adviser asks the advice service on behalf of this instance.
 type Adviser interface {
 	// Advise returns which of the workers may run a step and how long that holds.
@@ -101,6 +107,7 @@
 	Sink        Sink
 	Journal     Journal
 	Adviser     Adviser
+	Gate        Gate // nil admits all
 	Inspector   Inspector
 	Deputy      Deputy
 	Delegator   func() (Delegator, bool)        // the delegator of this entry while it leads
@@ -452,6 +459,8 @@
 			if isWaiting(refused) {
 				return &classifier.Error{Kind: classifier.Unanswered, Call: method, Reason: refused.Message, Cause: classifier.ErrCongested}
 			}
+		case codeBeyond:
+			return &classifier.Error{Kind: classifier.BeyondShare, Call: method, Reason: refused.Message, RetryAfter: retryAfter(refused)}
 		case codeCongested:
 			return &classifier.Error{Kind: classifier.Busy, Call: method, Reason: refused.Message, Cause: classifier.ErrCongested}
 		default:
@@ -482,15 +491,6 @@
 	return a.Waiting, err
 }
 
-// Add asks the leader to add a value to the stream of jobs and returns when it is
-// in the log. The cause of an error is classifier.ErrCongested if the leader has answered
-// that it waits for the log.
-func (l *Linker) Add(ctx context.Context, v replicator.Value) error {
-	bounded, cancel := context.WithTimeout(ctx, writeTimeout+writeMargin)
-	defer cancel()
-	return l.callLeader(bounded, methodWrite, writeMessage{v.Name, v.Data}, nil)
-}
-
 // Consult asks for advice through the entry that c names, which may be this one.
 // It returns the permits and how long they are valid.
 func (l *Linker) Consult(ctx context.Context, c leader.RequestAdvice) ([]leader.Permit, time.Duration, error) {
--- a/internal/linker/messages.go
+++ b/internal/linker/messages.go
@@ -70,8 +70,22 @@
 }
 
 type writeMessage struct {
-	Name string `json:"name"`
-	Data []byte `json:"data"`
+	Name  string        `json:"name"`
+	Data  []byte        `json:"data"`
+	Claim *claimMessage `json:"claim,omitempty"` // of a job that counts against a workspace
+}
+
+// claimMessage is a ledger.Claim.
+type claimMessage struct {
+	Workspace string        `json:"workspace"`
+	Priority  int           `json:"priority,omitempty"`
+	Chain     time.Duration `json:"chain,omitempty"`
+	Limit     time.Duration `json:"limit,omitempty"`
+}
+
+// refusal is the data of the error of a write that was refused for the workspace's share.
+type refusal struct {
+	RetryAfter time.Duration `json:"after"`
 }
 
 // writeFailure is the data of the error of a write.
@@ -95,4 +109,5 @@
 	codeNotDone    = 2 // the call was not carried out
 	codeUnknown    = 3 // the call may have been carried out
 	codeCongested  = 4 // the call was not carried out, since too much waits for the log
+	codeBeyond     = 5 // the call was not carried out, since the workspace has used up its share
 )
