Average what a workspace sends over the users' window

Cause: 2 s is a guess of the burstiness of callers; the settings of deployments with quotas say over which time the users look at them.

--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -25,6 +25,7 @@
 	Keep     time.Duration `yaml:"keep"`     // how long the states of ended jobs can be queried
 	Revoke   time.Duration `yaml:"revoke"`   // time after which a revoked key must not be served; 0 for no limit
 	Apply    time.Duration `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
+	Window   time.Duration `yaml:"window"`   // time over which what a workspace sends is averaged; 0 for the default
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
 	Level    string        `yaml:"level"`    // log level: error, warning, info or debug
@@ -71,7 +72,7 @@
 // its position, which the YAML decoder does not report for durations.
 func invalidDurations(file string, data []byte) ValidationErrors {
 	var all ValidationErrors
-	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply"} {
+	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply", "window"} {
 		node, err := lookupNode(data, key)
 		if err != nil {
 			continue // validate reports missing keys
@@ -132,6 +133,7 @@
 	}
 	check(c.Revoke >= 0, "revoke", c.Revoke, allowedLimit)
 	check(c.Apply >= 0, "apply", c.Apply, allowedLimit)
+	check(c.Window >= 0, "window", c.Window, "a duration with a unit such as 1500ms or 2s, or 0 for the default")
 	check(c.Share > 0, "share", c.Share, "a number above 0")
 	check(c.Memory > 0, "memory", c.Memory, "a number above 0")
 	_, err := logrus.ParseLevel(c.Level)
