--- a/internal/leader/beyond_test.go
+++ b/internal/leader/beyond_test.go
@@ -87,6 +87,15 @@
 	assert.Equal(t, h.countOrders(leader.OrderStart), 12)
 }
 
+// A service of a workspace starts beside a full cell's waiting steps, within its share or not.
+func TestServicesLeaveNoRoomToOthers(t *testing.T) {
+	h := newSharedHarness(t, 1, 100, "hot")
+	h.submit("wide", ledger.Queue{Priority: 2}, ledger.Step{Count: 9, Request: ledger.Resources{CPU: 30}, Estimate: time.Minute})
+	h.flood("hot", 1, 9, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1}, LongRunning: true})
+	h.advance(time.Second)
+	assert.Equal(t, h.countOrders(leader.OrderStart), 3+9)
+}
+
 // Load pattern: a flood waits beside a step of another workspace that is accepted after it, in
 // a full cell. What frees goes to the other workspace, though the flood is more urgent.
 func TestRoomThatFreesGoesToJobsWithinTheirShare(t *testing.T) {
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -46,7 +46,11 @@
 			t.noteBegun(job.Job, job.Standing)
 		}
 	} else {
-		t.emit(Decision{What: "accept", Job: e.Job.ID, Why: e.Job.Queue.Name})
+		why := e.Job.Queue.Name
+		if job.Standing.Beyond {
+			why += ", beyond the share of workspace " + e.Job.Workspace
+		}
+		t.emit(Decision{What: "accept", Job: e.Job.ID, Why: why})
 	}
 	job, _ = t.active.get(string(e.Job.ID))
 	if job.Progress.State.Final() {
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -265,7 +265,7 @@
 // A non-empty rack restricts the choice to that rack.
 func (p *placementPass) pick(r stepRef, task ledger.Task, eligible []int, counts map[string]int, rack string) int {
 	spec := r.spec()
-	if r.job.Standing.Beyond && p.reserves[r.job.Job.Queue.Service].keeps(spec.Reservation()) {
+	if r.job.Standing.Beyond && !spec.LongRunning && p.reserves[r.job.Job.Queue.Service].keeps(spec.Reservation()) {
 		return -1
 	}
 	var kept *headroom
--- a/internal/leader/reserve.go
+++ b/internal/leader/reserve.go
@@ -5,8 +5,9 @@
 )
 
 // maxReserveShare bounds what a reserve keeps as a fraction of a service's capacity: steps
-// that wait for a kind of worker must not leave others idle.
-const maxReserveShare = 0.5
+// that wait for a kind of worker must not leave others idle. A cell of which half is in use
+// places all that fits.
+const maxReserveShare = 0.4
 
 // reserve is the room at a service's workers that jobs beyond the share of their workspace
 // leave to steps within that wait. Order alone doesn't do it: these ask for advice on workers
