Release parked steps in the order of their workspace's urgency

Cause: each need released steps without regard to the others, so a workspace with many sizes of tasks had most of its parked steps visited for every run that ended.

Change: the steps of all needs that fit are released in order of urgency as far as they fit together, late ones behind those that can still be in time.

--- a/internal/leader/caps.go
+++ b/internal/leader/caps.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -233,7 +235,7 @@
 	// releaseInterval is the least time between two passes that release parked steps of the
 	// same workspace without an event.
 	releaseInterval = 10 * time.Millisecond
-	// firstSurplus is how many steps of a need are released beyond what fits once those
+	// firstSurplus is how many steps of a workspace are released beyond what fits once those
 	// released before have left room, as the workers may have none for them. It doubles with
 	// each pass, up to a limit.
 	firstSurplus       = 8
@@ -241,53 +243,95 @@
 )
 
 // releaseSteps has the pass visit parked steps that fit under the cap of their workspace:
-// about as many as can start, and more if these have found no room.
+// about as many as can start, the most urgent first, and more if those released before have
+// left room.
 func (t *transition) releaseSteps() {
 	for workspace, passes := range t.released.All() {
-		needs, _ := t.parked.Get(workspace)
-		for _, n := range needs.All() {
-			if !t.account.Fits(workspace, n.size, n.tasks) {
-				continue
+		surplus := 0
+		if passes > 0 {
+			surplus = firstSurplus << min(passes-1, maxSurplusDoubling)
+		}
+		claimed := t.account
+		for _, c := range t.releasable(workspace, surplus) {
+			if !claimed.Fits(workspace, c.size, c.tasks) {
+				if surplus--; surplus < 0 {
+					continue
+				}
 			}
-			surplus := 0
-			if passes > 0 {
-				surplus = firstSurplus << min(passes-1, maxSurplusDoubling)
+			if idle := t.takeBack(c.key); idle > 0 {
+				claimed = claimed.WithRuns(workspace, c.size, max(c.tasks, claimed.Room(workspace, c.size, idle)))
 			}
-			t.releaseNeed(workspace, n, surplus)
 		}
 	}
 }
 
-// releaseNeed has the pass visit the most urgent parked steps of a need, as far as their tasks
-// fit under the cap, and a surplus.
-func (t *transition) releaseNeed(workspace string, n parkedNeed, surplus int) {
-	starts := 1
-	if n.tasks == 1 {
-		starts = t.account.Room(workspace, n.size, n.steps.Len())
-	}
-	for key, score := range n.steps.From(minScore) {
-		if deferrable(score) && !t.pace.room(t.starting, true) {
-			return
+// releasable is a parked step that fits under the cap of its workspace.
+type releasable struct {
+	need
+	key   string
+	score int64
+}
+
+// releasable returns the parked steps of a workspace that may be released, the most urgent
+// first: of each need as many as fit, and a surplus.
+func (t *transition) releasable(workspace string, surplus int) []releasable {
+	var found []releasable
+	paced := !t.pace.room(t.starting, true)
+	needs, _ := t.parked.Get(workspace)
+	for _, n := range needs.All() {
+		if !t.account.Fits(workspace, n.size, n.tasks) {
+			continue
 		}
-		if starts <= 0 {
-			if surplus--; surplus < 0 {
-				return
-			}
+		n = t.demoteParked(workspace, n)
+		left := surplus + 1
+		if n.tasks == 1 {
+			left = surplus + t.account.Room(workspace, n.size, n.steps.Len())
 		}
-		h, _ := t.held.Get(key)
-		t.unpark(key, h)
-		r, ok := t.resolveStep(key)
-		if !ok {
-			t.forgetHeld(key)
-			continue
+		for key, score := range n.steps.From(minScore) {
+			if left--; left < 0 || paced && deferrable(score) {
+				break
+			}
+			found = append(found, releasable{n.need, key, score})
 		}
-		starts--
-		score = t.urgency(r.job, r.round, r.step)
-		t.waiting = t.waiting.With(key, score)
-		if r.spec().LongRunning {
-			t.services = t.services.With(key, score)
+	}
+	slices.SortFunc(found, func(a, b releasable) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.key, b.key))
+	})
+	return found
+}
+
+// demoteParked ranks the parked steps of a need anew that can no longer meet their objective, as
+// demoteLate does, and returns the need. It stops at the first that can.
+func (t *transition) demoteParked(workspace string, n parkedNeed) parkedNeed {
+	before, lateBefore := n.steps, t.now.Add(t.lateMargin()).UnixMilli()
+	for key, score := range before.From(minScore) {
+		if score%priorityWeight >= lateBefore {
+			break
 		}
+		n.steps = n.steps.With(key, score+latePenalty)
+	}
+	if n.steps != before {
+		needs, _ := t.parked.Get(workspace)
+		t.parked = t.parked.With(workspace, needs.With(n.name(), n))
+	}
+	return n
+}
+
+// takeBack makes a parked step wait again, and returns its number of idle tasks.
+func (t *transition) takeBack(key string) int {
+	h, _ := t.held.Get(key)
+	t.unpark(key, h)
+	r, ok := t.resolveStep(key)
+	if !ok {
+		t.forgetHeld(key)
+		return 0
+	}
+	score := t.urgency(r.job, r.round, r.step)
+	t.waiting = t.waiting.With(key, score)
+	if r.spec().LongRunning {
+		t.services = t.services.With(key, score)
 	}
+	return t.countIdle(r)
 }
 
 // settleReleased keeps the workspaces of which parked steps still fit for the next pass.
--- a/internal/leader/caps_bench_test.go
+++ b/internal/leader/caps_bench_test.go
@@ -29,6 +29,7 @@
 	step := ledger.Step{Count: tasksPerJob, Request: ledger.Resources{CPU: 5000, Memory: 19_000}, Estimate: time.Second}
 	jobs := 0
 	submit := func() {
+		step.Request.Memory = 19_000 - int64(jobs/workspaces) // sizes differ, as those of jobs do
 		r.apply(leader.Accepted{Job: ledger.Job{
 			ID: ledger.ID(fmt.Sprintf("j%d", jobs)), Workspace: caps.Workspaces[jobs%workspaces].Name, Accepted: r.now, Queue: ledger.Queue{Service: "s"}, Steps: []ledger.Step{step},
 		}})
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -37,7 +37,7 @@
 }
 
 // countIdle returns the number of idle tasks of a step.
-func (p *placementPass) countIdle(r stepRef) int {
+func (t *transition) countIdle(r stepRef) int {
 	idle := 0
 	for _, task := range r.job.Progress.Step(r.round, r.step) {
 		if task.Phase == ledger.Idle {
