--- a/internal/leader/caps_test.go
+++ b/internal/leader/caps_test.go
@@ -163,3 +163,35 @@
 	h.advance(2 * time.Second)
 	assert.Equal(t, len(h.running), 1)
 }
+
+// Guards against a new leader that starts tasks before it counts what an earlier one has
+// started at workers that don't answer.
+func TestANewLeaderCountsInheritedRunsAtSilentWorkers(t *testing.T) {
+	h := newHarness(t, 2, ledger.Resources{CPU: 8000, Memory: 8000})
+	h.capCPU(1, 4000)
+	h.submitIn("a", "old", ledger.Queue{}, plainStep(4, 1000))
+	progress := h.records["old"]
+	old := ledger.Job{ID: "old", Workspace: "a", Accepted: h.now, Queue: ledger.Queue{Service: "s"}, Steps: []ledger.Step{plainStep(4, 1000)}}
+
+	silent := h.running["old.0.0.0"]
+	next := newHarness(t, 0, ledger.Resources{})
+	next.capCPU(1, 4000)
+	next.submitIn("a", "new", ledger.Queue{}, plainStep(4, 1000))
+	next.apply(leader.Accepted{Job: old, Progress: &progress})
+	for _, id := range []string{"w00", "w01", "w02"} {
+		next.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: ledger.Resources{CPU: 8000, Memory: 8000}}})
+		if id != silent {
+			next.report(id)
+		}
+	}
+	next.advance(time.Second)
+	left := len(next.running)
+	held := 0
+	for _, at := range h.running {
+		if at == silent {
+			held++
+		}
+	}
+	assert.Assert(t, held > 0)
+	assert.Equal(t, left, 4-held)
+}
