Let steps wait for a place in their rack while that pays

A step whose rack had no room took a place elsewhere at once, where it runs far_x times as long and holds its room for as long. The leader now compares the expected wait with what is won, bounded by the objective, the regret and the rule on lost jobs (docs/design/waits.md). Runs away from their data no longer count as stragglers or as slow workers: their time is divided by the factor. Expected run times are learnt by image or queue.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -103,7 +103,7 @@
 	if most := r.spec().MaxPerWorker; most > 0 {
 		limit = min(limit, most-running)
 	}
-	return countFits(free, size, limit)
+	return free.Count(size, limit)
 }
 
 // requestAdvice has an idle entry call for advice on a step.
--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -25,8 +25,9 @@
 	advice    ledger.Advice
 	permitted float64 // fraction of the workers that advice permits
 	burst     burst
-	workspace string     // that its jobs count against
-	rng       *rand.Rand // of its jobs, nil for the cell's
+	workspace string                                // that its jobs count against
+	rng       *rand.Rand                            // of its jobs, nil for the cell's
+	shape     func(c *simulatedCell, j *ledger.Job) // changes a job before it is submitted
 }
 
 // burst multiplies the rate of a queue for a time.
@@ -48,12 +49,23 @@
 	workspaces []ledger.Workspace
 	// effectTime is the time that it takes for each effect of an event, on top of that.
 	effectTime time.Duration
+	far        float64 // how many times as long a task takes away from its rack or its gang
+	waits      bool    // the leader knows that
+	blind      bool    // workers report no progress
 }
 
 // cellResult is what became of the jobs of a queue.
 type cellResult struct {
-	jobs, inAim, late int // jobs asked for, ended within the objective, and within three times the objective
-	refused           int // jobs turned away
+	jobs, inAim, late int           // jobs asked for, ended within the objective, and within three times the objective
+	refused           int           // jobs turned away
+	ended             int           // jobs
+	took              time.Duration // by these
+	longest           time.Duration // by one of these
+}
+
+// plus returns the jobs of both results.
+func (r cellResult) plus(o cellResult) cellResult {
+	return cellResult{jobs: r.jobs + o.jobs, inAim: r.inAim + o.inAim, late: r.late + o.late, refused: r.refused + o.refused}
 }
 
 // simulatedCell drives a leader with the load of a cell. The same seed gives the same
@@ -61,6 +73,7 @@
 type simulatedCell struct {
 	cellLoad
 	rng     *rand.Rand
+	drawn   *rand.Rand // of what is the same however jobs are placed
 	state   leader.State
 	start   time.Time
 	now     time.Time
@@ -86,6 +99,8 @@
 	accepted time.Time
 	aim      time.Duration
 	counted  bool
+	job      ledger.Job
+	seed     uint64 // of its run times
 }
 
 // timedEvents is a heap of functions by the time at which they are due.
@@ -144,15 +159,22 @@
 		cellLoad: load, rng: rand.New(rand.NewPCG(seed, seed)), start: time.Unix(1_700_000_000, 0), running: map[string][]dayTask{}, ends: map[string]int64{},
 		jobs: map[ledger.ID]simulatedJob{}, results: map[string]cellResult{}, kinds: map[string]int{},
 	}
-	c.now = c.start
-	c.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: 10 * time.Millisecond}, c.now)
+	c.now, c.drawn = c.start, c.rng
+	if load.far > 0 {
+		c.drawn = rand.New(rand.NewPCG(seed, seed+1))
+	}
+	policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: 10 * time.Millisecond}
+	if load.waits {
+		policy.Far = load.far
+	}
+	c.state = leader.New(policy, c.now)
 	if len(load.workspaces) > 0 {
 		c.apply(leader.WorkspacesChanged{Version: 1, Workspaces: load.workspaces})
 	}
 	for i := range load.workers {
 		name := fmt.Sprintf("w%04d", i)
 		c.names = append(c.names, name)
-		c.apply(leader.Listed{Listing: leader.Listing{ID: name, Address: name, Service: "s", Capacity: workerSize, Rack: fmt.Sprintf("r%d", i/20)}})
+		c.apply(leader.Listed{Listing: leader.Listing{ID: name, Address: name, Service: "s", Capacity: workerSize, Rack: rackOf(name), Labels: []string{rackOf(name)}}})
 		c.apply(leader.Reported{Worker: name, Report: leader.Report{Incarnation: 1}, Sent: c.now, Silence: 1})
 		c.at(time.Duration(i)*time.Second/time.Duration(load.workers), func() { c.reportFully(name) })
 	}
@@ -212,7 +234,7 @@
 	if q.rng != nil {
 		return q.rng
 	}
-	return c.rng
+	return c.drawn
 }
 
 func (c *simulatedCell) submit(q *queueLoad) {
@@ -242,7 +264,15 @@
 		return
 	}
 	aim := time.Duration(q.stretch*float64(job.CriticalPath())) + q.objective
-	c.jobs[id] = simulatedJob{q, c.now, aim, counted}
+	if q.shape != nil {
+		q.shape(c, &job)
+	}
+	c.jobs[id] = simulatedJob{queue: q, accepted: c.now, aim: aim, counted: counted, job: job}
+	if c.far > 0 {
+		seeded := c.jobs[id]
+		seeded.seed = c.drawn.Uint64()
+		c.jobs[id] = seeded
+	}
 	c.apply(leader.Accepted{Job: job})
 }
 
@@ -300,6 +330,7 @@
 	}
 	took := c.now.Add(appendTime).Sub(job.accepted)
 	r := c.results[job.queue.name]
+	r.ended, r.took, r.longest = r.ended+1, r.took+took, max(r.longest, took)
 	switch {
 	case took <= job.aim:
 		r.inAim++
@@ -338,7 +369,21 @@
 		task := dayTask{RunEnd: leader.RunEnd{Task: o.Task.String(), Run: o.Run, Kind: leader.EndDone}}
 		if job, ok := c.jobs[o.Task.Job]; ok {
 			d := time.Duration(float64(job.queue.run) * (0.5 + c.rng.Float64()))
+			if c.far > 0 {
+				d = job.runTime(o.Task)
+			}
+			if job.job.Steps[o.Task.Step].Gang {
+				c.joinGang(o, task, d)
+				break
+			}
+			if rack := job.job.Steps[o.Task.Step].Rack; rack != "" && rack != rackOf(o.Worker) {
+				d = time.Duration(float64(d) * c.far)
+				c.kinds["far run"]++
+			}
 			task.at = c.now.Add(d)
+			if c.far > 0 {
+				task.began = c.now
+			}
 			c.at(d+time.Duration(c.rng.Int64N(int64(pollTime))), func() { c.reportEnds(o.Worker) })
 		}
 		c.running[o.Worker] = append(c.running[o.Worker], task)
@@ -381,7 +426,14 @@
 func (c *simulatedCell) reportFully(id string) {
 	report := leader.Report{Incarnation: 1, Clock: c.now.UnixMilli(), Ended: c.takeEnds(id)}
 	for _, t := range c.running[id] {
-		report.Running = append(report.Running, leader.RunStatus{Task: t.Task, Number: t.Run, Percent: c.rng.IntN(90)})
+		percent := c.rng.IntN(90)
+		if !t.began.IsZero() {
+			percent = int(100 * c.now.Sub(t.began) / t.at.Sub(t.began))
+		}
+		if c.blind {
+			percent = 0
+		}
+		report.Running = append(report.Running, leader.RunStatus{Task: t.Task, Number: t.Run, Percent: percent})
 	}
 	c.apply(leader.Reported{Worker: id, Report: report, Sent: c.now})
 	c.at(time.Second, func() { c.reportFully(id) })
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -18,24 +18,37 @@
 	}
 	eligible := p.eligible(r, held)
 	racks := []string{""}
-	if r.spec().SameRack {
+	wants := p.wantsRack(r.spec())
+	switch {
+	case r.spec().SameRack:
 		racks = append(p.racksByPreference(r.spec().Rack), "")
+	case wants:
+		racks = []string{r.spec().Rack, ""}
 	}
 	for _, rack := range racks {
 		chosen := p.chooseForGang(r, tasks, eligible, rack)
 		if len(chosen) < len(tasks) {
 			continue
 		}
+		if wants && !isNear(r.spec(), rack) && p.holdGang(r, len(tasks), eligible, held) {
+			return
+		}
 		for index, i := range chosen {
 			id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 			p.placeRun(r, id, run+1, i, held)
 		}
 		return
 	}
+	p.pauseNearWait(r.key)
 	p.fullSteps.Spend(r.key)
 	p.deferStep(r)
 }
 
+// isNear reports whether a gang runs no longer than it must in a rack; "" stands for several.
+func isNear(s *ledger.Step, rack string) bool {
+	return rack != "" && (s.Rack == "" || s.Rack == rack)
+}
+
 // racksByPreference returns the racks of the candidates, the one near the data
 // first.
 func (p *placementPass) racksByPreference(near string) []string {
--- a/internal/leader/headroom.go
+++ b/internal/leader/headroom.go
@@ -59,7 +59,7 @@
 }
 
 // fits returns how many urgent tasks fit into free capacity.
-func (h *headroom) fits(free ledger.Resources) int { return countFits(free, h.size, maxFits) }
+func (h *headroom) fits(free ledger.Resources) int { return free.Count(h.size, maxFits) }
 
 // maxFits bounds the urgent tasks that count as room at one worker.
 const maxFits = 1 << 10
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -157,6 +157,7 @@
 	t.waiting, t.services, t.readySince, t.retryAt = t.waiting.Without(key), t.services.Without(key), t.readySince.Without(key), t.retryAt.Without(key)
 	t.fullTurns, t.searchTurns = t.fullTurns.Without(key), t.searchTurns.Without(key)
 	t.forgetHeld(key)
+	t.endNearWait(key)
 }
 
 // rankForPrefetch adds a step to those whose advice is requested ahead of time if
@@ -257,7 +258,7 @@
 		return
 	}
 	if placed && e.Kind == EndDone && !job.Progress.State.Final() {
-		t.recordRunTime(w.ID, p, job.Job.Steps[id.Step])
+		t.recordRunTime(w.ID, p, job.Job.Steps[id.Step], job.Job.Queue.Name)
 	}
 	var stages RunStages
 	if e.Kind == EndDone {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -33,6 +33,7 @@
 	MaxStaleRenewal time.Duration // longest time that a deposed leader may renew leases without the log
 	Placer          placer.Placer // chooses among the workers with room; nil means placer.BestFit
 	ShareWindow     time.Duration // time over which what a workspace sends is averaged; 0 for the default
+	Far             float64       // how many times as long a task takes away from its data or its gang; up to 1 no task waits for a rack
 	MinPassInterval time.Duration // least time between two placement passes; 0 runs one after each event
 }
 
@@ -61,6 +62,8 @@
 	prefetch       container.Ranking          // steps to request advice for while their predecessors run, by urgency
 	dueRounds      container.Ranking          // jobs by the time at which their next round is due
 	retryAt        container.Table[time.Time] // when to visit a waiting step again that found no room
+	nearWaits      container.Table[nearWait]  // waits of steps for a rack
+	kinds          container.Table[kindTimes] // run times by image or queue
 	fullTurns      container.Table[bool]      // steps that found no room, as in rationer.Effort.Turns
 	searchTurns    container.Table[bool]      // steps that found no worker to query, as in rationer.Effort.Turns
 	prefetchDue    container.Table[time.Time] // when to estimate again when a step in prefetch becomes ready
--- a/internal/leader/load_bench_test.go
+++ b/internal/leader/load_bench_test.go
@@ -21,7 +21,8 @@
 // dayTask is a running task of the benchmark.
 type dayTask struct {
 	leader.RunEnd
-	at time.Time // when it ends; zero for a lasting task
+	at    time.Time // when it ends; zero for a lasting task
+	began time.Time // zero if its progress is not known
 }
 
 // dayDriver drives a leader through a day.
--- a/internal/leader/nominees.go
+++ b/internal/leader/nominees.go
@@ -17,6 +17,7 @@
 	slownessTenths int32 // 0 unless the step is urgent
 	free           int64
 	permitted      bool // by an earlier answer
+	near           bool // in the rack that the step wants
 }
 
 // countCalls returns, by slot, how many advice calls in progress query a worker. Steps
@@ -78,7 +79,11 @@
 			continue
 		}
 		unknown++
-		found += ratio * float64(o.fits)
+		fits := float64(o.fits)
+		if o.near {
+			fits /= float64(1 + o.calls) // all steps that want the rack ask for its workers
+		}
+		found += ratio * fits
 	}
 	return chosen
 }
@@ -124,12 +129,14 @@
 }
 
 // nominees returns the workers with room that an advice call may query: first those
-// known to be permitted, then those queried by fewer calls in progress, then for
+// known to be permitted, then those in the rack that the step wants, then those queried
+// by fewer calls in progress, then for
 // urgent steps the faster ones, then those with more room.
 func (p *placementPass) nominees(r stepRef, have permits, idle int) nomineeQueue {
 	size := r.spec().Reservation()
 	nominees := p.nomineeSpace[:0]
 	counts, calls := p.runsByWorker(r), p.countCalls()
+	rack := p.rackToAsk(r, have, counts)
 	for _, i := range p.matching(r) {
 		c := &p.slots[i]
 		if !c.Free.CanFit(size) {
@@ -143,7 +150,7 @@
 		if fits == 0 {
 			continue
 		}
-		o := nominee{slot: int32(i), permitted: permitted, fits: int32(fits), free: c.Free.CPU, calls: calls[i]}
+		o := nominee{slot: int32(i), permitted: permitted, fits: int32(fits), free: c.Free.CPU, calls: calls[i], near: rack != "" && c.Rack == rack}
 		if r.job.Job.Queue.Priority == 0 {
 			o.slownessTenths = int32(placer.SlownessTenths(c.Slowness))
 		}
@@ -184,6 +191,8 @@
 	switch {
 	case a.permitted != b.permitted:
 		return prefer(a.permitted)
+	case a.near != b.near:
+		return prefer(a.near)
 	case a.calls != b.calls:
 		return cmp.Compare(a.calls, b.calls)
 	case a.slownessTenths != b.slownessTenths:
@@ -203,14 +212,3 @@
 	}
 	return 1
 }
-
-// countFits returns how many tasks of a size fit into free capacity, at most limit.
-func countFits(free, size ledger.Resources, limit int) int {
-	n := int64(max(limit, 0))
-	for _, r := range [...]struct{ free, size int64 }{{free.CPU, size.CPU}, {free.Memory, size.Memory}, {free.GPU, size.GPU}} {
-		if r.size > 0 {
-			n = min(n, max(r.free, 0)/r.size)
-		}
-	}
-	return int(n)
-}
--- a/internal/leader/overload_test.go
+++ b/internal/leader/overload_test.go
@@ -34,8 +34,7 @@
 	for _, c := range cells[1:] {
 		sum.starts += c.starts
 		for queue, r := range c.results {
-			s := sum.results[queue]
-			sum.results[queue] = cellResult{s.jobs + r.jobs, s.inAim + r.inAim, s.late + r.late, s.refused + r.refused}
+			sum.results[queue] = sum.results[queue].plus(r)
 		}
 		for kind, n := range c.kinds {
 			sum.kinds[kind] += n
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -28,6 +28,7 @@
 	deferrable     bool                  // the step that is placed can wait while the leader is behind
 	headrooms      map[string]*headroom  // by service; none where no urgent task runs
 	reserves       map[string]*reserve   // by service; none where nothing waits that may go first
+	racks          rackView              // for steps that want a rack
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
@@ -172,8 +173,10 @@
 	}
 	eligible := p.eligible(r, held)
 	counts := p.runsByWorker(r)
+	near := p.nearStep(r)
+	defer near.end()
 	for index, task := range r.job.Progress.Step(r.round, r.step) {
-		if task.Phase != ledger.Idle {
+		if task.Phase != ledger.Idle || near.holds(task) {
 			continue
 		}
 		if !r.spec().LongRunning && !p.mayStart() {
@@ -188,9 +191,12 @@
 		if i < 0 {
 			p.fullSteps.Spend(r.key)
 			p.deferStep(r)
-			p.preempt(r, eligible, counts)
+			p.preempt(r, eligible, counts, near.held)
 			return
 		}
+		if near.refuses(task, p.slots[i].Rack, eligible, held, counts) {
+			continue
+		}
 		p.placeRun(r, id, task.Run+1, i, held)
 		counts[p.slots[i].ID]++
 	}
@@ -358,8 +364,9 @@
 }
 
 // preempt frees capacity for an urgent step that found none. It stops checkpointed
-// runs of less urgent queues, unless pending stops free enough.
-func (p *placementPass) preempt(r stepRef, eligible []int, counts map[string]int) {
+// runs of less urgent queues, unless pending stops free enough. Nothing is stopped for the
+// tasks that wait for a rack.
+func (p *placementPass) preempt(r stepRef, eligible []int, counts map[string]int, waiting int) {
 	if r.job.Job.Queue.Priority != 0 || p.deferrable {
 		return
 	}
@@ -367,7 +374,7 @@
 		return
 	}
 	size := r.spec().Reservation()
-	missing := 0
+	missing := -waiting
 	job, _ := p.active.get(string(r.job.Job.ID)) // includes the tasks that this pass has placed
 	for _, task := range job.Progress.Step(r.round, r.step) {
 		if task.Phase == ledger.Idle {
--- a/internal/leader/shares_test.go
+++ b/internal/leader/shares_test.go
@@ -71,8 +71,7 @@
 	sum := map[string]cellResult{}
 	for _, c := range cells {
 		for name, r := range c.results {
-			s := sum[name]
-			sum[name] = cellResult{s.jobs + r.jobs, s.inAim + r.inAim, s.late + r.late, s.refused + r.refused}
+			sum[name] = sum[name].plus(r)
 		}
 	}
 	return sum
--- a/internal/leader/speed.go
+++ b/internal/leader/speed.go
@@ -76,14 +76,14 @@
 
 // recordRunTime compares the time of a completed run with the mean of its step. The
 // tasks of a step are alike, so a longer run indicates a slow worker.
-func (t *transition) recordRunTime(id string, p Placement, step ledger.Step) {
+func (t *transition) recordRunTime(id string, p Placement, step ledger.Step, queue string) {
 	w, ok := t.fleet.get(id)
 	if !ok || !p.FromStart || p.StartedAt.IsZero() || step.LongRunning || step.Gang || step.BestEffort {
 		return
 	}
 	key := stepKey(p.Task.Job, p.Task.Round, p.Task.Step)
 	m, _ := t.runTimes.Get(key)
-	took := t.now.Sub(p.StartedAt)
+	took := time.Duration(float64(t.now.Sub(p.StartedAt)) / t.far(step, w.Rack))
 	if mean := m.mean(); mean > 0 {
 		ratio := float64(took) / float64(mean)
 		t.meanRatio += meanRatioWeight * (min(ratio, maxRatio) - t.meanRatio)
@@ -92,17 +92,18 @@
 		w = t.excludeIfSlow(w)
 	}
 	t.runTimes = t.runTimes.With(key, m.with(took, w.slowness()))
+	t.learnKind(step, queue, time.Duration(float64(took)/t.relativeSlowness(w)))
 }
 
 // stragglerRatio estimates the time of a run relative to the mean of its step, from
 // the progress that its worker reports, and reports whether the run straggles. A
 // run is judged only after at least half of the tasks of its step have completed.
-func (t *transition) stragglerRatio(p Placement, step ledger.Step) (float64, bool) {
+func (t *transition) stragglerRatio(w Worker, p Placement, step ledger.Step) (float64, bool) {
 	if !p.FromStart || p.StartedAt.IsZero() || step.LongRunning || step.Gang || step.BestEffort {
 		return 0, false
 	}
 	m, _ := t.runTimes.Get(stepKey(p.Task.Job, p.Task.Round, p.Task.Step))
-	mean := m.mean()
+	mean := time.Duration(float64(m.mean()) * t.far(step, w.Rack))
 	if mean == 0 || 2*m.runs < step.Count {
 		return 0, false
 	}
@@ -128,7 +129,7 @@
 // moveStraggler stops a straggling run, so that its task starts elsewhere, and
 // returns the worker.
 func (t *transition) moveStraggler(w Worker, p Placement, step ledger.Step) Worker {
-	ratio, straggling := t.stragglerRatio(p, step)
+	ratio, straggling := t.stragglerRatio(w, p, step)
 	if !straggling {
 		return w
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,17 @@
 	return (o.CPU == 0 || o.CPU <= s.CPU) && (o.Memory == 0 || o.Memory <= s.Memory) && (o.GPU == 0 || o.GPU <= s.GPU)
 }
 
+// Count returns how many tasks of size o fit into s, at most limit.
+func (s Resources) Count(o Resources, limit int) int {
+	n := int64(max(limit, 0))
+	for _, r := range [...]struct{ free, size int64 }{{s.CPU, o.CPU}, {s.Memory, o.Memory}, {s.GPU, o.GPU}} {
+		if r.size > 0 {
+			n = min(n, max(r.free, 0)/r.size)
+		}
+	}
+	return int(n)
+}
+
 // Advice describes the service that names the workers permitted for a step, and the
 // time that a call to it takes.
 type Advice struct {
--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -26,6 +26,7 @@
 	Revoke   time.Duration `yaml:"revoke"`   // time after which a revoked key must not be served; 0 for no limit
 	Apply    time.Duration `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
 	Window   time.Duration `yaml:"window"`   // time over which what a workspace sends is averaged; 0 for the default
+	Far      float64       `yaml:"far"`      // how many times as long a task takes away from its data or its gang; 0 or 1 if places don't matter
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
 	Level    string        `yaml:"level"`    // log level: error, warning, info or debug
@@ -134,6 +135,7 @@
 	check(c.Revoke >= 0, "revoke", c.Revoke, allowedLimit)
 	check(c.Apply >= 0, "apply", c.Apply, allowedLimit)
 	check(c.Window >= 0, "window", c.Window, "a duration with a unit such as 1500ms or 2s, or 0 for the default")
+	check(c.Far == 0 || c.Far >= 1, "far", c.Far, "0 or a number from 1")
 	check(c.Share > 0, "share", c.Share, "a number above 0")
 	check(c.Memory > 0, "memory", c.Memory, "a number above 0")
 	_, err := logrus.ParseLevel(c.Level)
