--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -26,6 +26,7 @@
 	silences       map[string]int64               // failed polls by worker
 	ended          map[string]int64               // number of ends by worker
 	orders         []leader.Order
+	decisions      []leader.Decision
 	records        map[ledger.ID]ledger.Progress
 	commitsDelayed bool    // records are not committed
 	delayedBatches []int64 // batches not committed
@@ -96,6 +97,8 @@
 				continue
 			}
 			h.apply(leader.Committed{Batch: f.Batch})
+		case leader.Decision:
+			h.decisions = append(h.decisions, f)
 		case leader.Renew:
 			h.renewed[f.Worker] = true
 		case leader.Order:
