--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -49,11 +49,21 @@
 
 // newPacedHarness returns a harness with a pause between placement passes.
 func newPacedHarness(t *testing.T, workers int, room ledger.Resources, pause time.Duration) *harness {
+	return newRackedHarness(t, workers, room, leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: pause}, nil)
+}
+
+// newRackedHarness returns a harness whose workers are in racks, as far as rackOf is set.
+func newRackedHarness(t *testing.T, workers int, room ledger.Resources, policy leader.Policy, rackOf func(i int) string) *harness {
 	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), permitted: map[string]bool{}, percent: 50, running: map[string]string{}, renewed: map[string]bool{}, silences: map[string]int64{}, ended: map[string]int64{}, records: map[ledger.ID]ledger.Progress{}}
-	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: pause}, h.now)
+	h.state = leader.New(policy, h.now)
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
-		h.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: room}})
+		l := leader.Listing{ID: id, Address: id, Service: "s", Capacity: room}
+		if rackOf != nil {
+			l.Rack = rackOf(i)
+			l.Labels = []string{l.Rack}
+		}
+		h.apply(leader.Listed{Listing: l})
 		h.report(id)
 	}
 	h.apply(leader.CallersChanged{Callers: []string{"a", "b", "c", "d"}})
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -177,7 +177,9 @@
 			room: ledger.Resources{CPU: 8000, Memory: 1 << 40}, workers: rapid.IntRange(4, 24).Draw(rt, "workers"), share: rapid.IntRange(20, 90).Draw(rt, "share"),
 			jobs: map[ledger.ID]ledger.Job{}, began: map[string]time.Time{}, active: map[ledger.ID]time.Time{}, done: map[string]bool{},
 		}
-		c.harness = newPacedHarness(t, c.workers, c.room, passTime)
+		policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: passTime, Far: rapid.SampledFrom([]float64{0, 3}).Draw(rt, "far")}
+		c.harness = newRackedHarness(t, c.workers, c.room, policy, func(i int) string { return fmt.Sprintf("r%d", i%3) })
+		c.harness.percent = rapid.IntRange(0, 99).Draw(rt, "percent")
 		c.harness.permits = c.permits
 		for n := range rapid.IntRange(1, 60).Draw(rt, "jobs") {
 			q := ledger.Queue{Name: "plain", Priority: rapid.IntRange(0, 2).Draw(rt, "priority")}
@@ -187,10 +189,12 @@
 			step := ledger.Step{Count: rapid.IntRange(1, 30).Draw(rt, "count"), Request: ledger.Resources{CPU: int64(rapid.IntRange(50, 4000).Draw(rt, "cpu"))}}
 			switch rapid.SampledFrom([]string{"short", "gang", "lasting"}).Draw(rt, "kind") {
 			case "gang":
-				step.Gang = true
+				step.Gang, step.SameRack = true, rapid.Bool().Draw(rt, "one rack")
 			case "lasting":
 				step.LongRunning, step.MaxPerWorker, step.Request.CPU = true, 1, 50
 			}
+			step.Rack = rapid.SampledFrom([]string{"", "r0", "r1"}).Draw(rt, "rack")
+			step.Estimate = time.Duration(rapid.IntRange(0, 10_000).Draw(rt, "estimate")) * time.Millisecond
 			id := ledger.ID(fmt.Sprintf("j%02d", n))
 			c.jobs[id] = ledger.Job{ID: id, Queue: q, Steps: []ledger.Step{step}}
 			c.submit(id, q, step)
--- a/internal/leader/near_load_test.go
+++ b/internal/leader/near_load_test.go
@@ -80,9 +80,9 @@
 	hot     float64 // fraction of these that want the same rack
 	stretch float64
 	slo     time.Duration
-	gang    bool // the jobs are gangs that want one rack instead
-	blind   bool // workers report no progress
-	mixed   bool // both ways must be worse than waiting as it pays
+	gangs   float64 // fraction of the jobs that are gangs, which want one rack
+	blind   bool    // workers report no progress
+	mixed   bool    // both ways must be worse than waiting as it pays
 }
 
 // play returns the mean time to the end of a job. Jobs that have not ended count up to the end
@@ -91,11 +91,12 @@
 	shape := func(c *simulatedCell, j *ledger.Job) {
 		j.Queue.Advice = nil
 		off, wants, hot, rack := 0.1+1.8*c.drawn.Float64(), c.drawn.Float64() < n.wanting, c.drawn.Float64() < n.hot, c.drawn.IntN(3)
+		gang := c.drawn.Float64() < n.gangs
 		for i := range j.Steps {
 			s := &j.Steps[i]
 			s.Estimate = time.Duration(off * float64(s.Estimate))
 			switch {
-			case n.gang:
+			case gang:
 				s.Gang, s.SameRack = true, true
 			case wants && hot:
 				s.Rack = "r0"
@@ -156,3 +157,18 @@
 		})
 	}
 }
+
+// Load patterns: gangs that want one rack, beside jobs that fill the cell more or less, with
+// estimates that are off by up to 90%. Guards against waits that gangs pay for.
+func TestWaitsOfGangsPay(t *testing.T) {
+	for _, n := range []nearLoad{
+		{name: "gangs, middling", perSec: 18, gangs: 0.3, stretch: 2.2},
+		{name: "gangs, heavy", perSec: 25, gangs: 0.3, stretch: 2.2},
+		{name: "gangs and a rack in demand", perSec: 18, gangs: 0.3, wanting: 0.5, hot: 0.9, stretch: 2.2},
+	} {
+		t.Run(n.name, func(t *testing.T) {
+			far, pays := n.mean(t, alwaysFar), n.mean(t, asItPays)
+			assert.Assert(t, float64(pays) <= 1.05*float64(far), "%v, against %v if they are spread at once", pays, far)
+		})
+	}
+}
--- a/internal/leader/near_test.go
+++ b/internal/leader/near_test.go
@@ -18,15 +18,9 @@
 // two tasks. Those of the first rack, w00 and w01, run up to four tasks of a job "first" that
 // are expected to end after a time.
 func newRackHarness(t *testing.T, far float64, tasks int, left time.Duration) *harness {
-	h := newHarness(t, 0, ledger.Resources{})
+	policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, Far: far}
+	h := newRackedHarness(t, 4, ledger.Resources{CPU: 2000, Memory: 1}, policy, func(i int) string { return fmt.Sprintf("r%d", i/2) })
 	h.percent = 0
-	h.state = leader.New(leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, Far: far}, h.now)
-	for i := range 4 {
-		id, rack := fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/2)
-		h.apply(leader.Listed{Listing: leader.Listing{ID: id, Address: id, Service: "s", Capacity: ledger.Resources{CPU: 2000, Memory: 1}, Labels: []string{rack}, Rack: rack}})
-		h.report(id)
-	}
-	h.apply(leader.CallersChanged{Callers: []string{"a"}})
 	h.submit("first", ledger.Queue{}, ledger.Step{Count: tasks, Request: oneTask, Estimate: left, RequiredLabel: "r0"})
 	assert.Equal(t, len(h.running), tasks)
 	return h
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -35,6 +35,8 @@
 			// Long-running tasks are not moved to make room for a large gang.
 			s.Request.CPU = min(s.Request.CPU, 1000)
 		}
+		s.Rack = rapid.SampledFrom([]string{"", "", "r0", "r1"}).Draw(t, "rack")
+		s.SameRack = s.Gang && rapid.Bool().Draw(t, "one rack")
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -166,7 +166,7 @@
 }
 
 func (sm *simulation) policy() leader.Policy {
-	return leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: sm.pause}
+	return leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second, MinPassInterval: sm.pause, Far: farRun}
 }
 
 // workerIDs returns the identifiers of the workers in order.
--- a/internal/loader/cell_test.go
+++ b/internal/loader/cell_test.go
@@ -39,6 +39,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, bounded.Revoke, 5*time.Second)
 	assert.Equal(t, bounded.Apply, 3*time.Second)
+	assert.Equal(t, c.Far, 0.0, "a file without it is valid")
+	c, err = loader.ParseCell("f", []byte(cell+"far: 3\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, c.Far, 3.0)
 }
 
 // Errors must give the line and column of the invalid value.
@@ -53,6 +57,7 @@
 		{"memory: 284", "level: loud", "level"},
 		{"keep: 120s", "keep: 120s\nrevoke: -1s", "f:13:9: revoke"},
 		{"keep: 120s", "keep: 120s\napply: soon", "f:13:8: apply"},
+		{"memory: 284", "memory: 284\nfar: 0.5", "f:15:6: far"},
 	} {
 		_, err := loader.ParseCell("f", []byte(strings.Replace(cell, c.old, c.new, 1)))
 		assert.Assert(t, err != nil, c.new)
