--- a/internal/leader/near.go
+++ b/internal/leader/near.go
@@ -177,7 +177,7 @@
 	pass     *placementPass
 	ref      stepRef
 	decided  bool
-	started  bool // a task of the step has started elsewhere
+	idle     bool // nothing of its job ran at the decision
 	most     int  // tasks that wait, once decided
 	held     int  // of these, those that have been visited
 	expected time.Duration
@@ -213,8 +213,8 @@
 	if n.holds(task) {
 		return true
 	}
-	// Now that one runs, the others may wait for longer.
-	n.decided, n.started = n.started, true
+	// Once one runs, the others may wait for longer.
+	n.decided = !n.idle
 	return false
 }
 
@@ -223,8 +223,7 @@
 	p, spec := n.pass, n.ref.spec()
 	var c waiter.Choice
 	c, n.wait = p.choice(n.ref)
-	c.Idle = c.Idle && !n.started
-	n.decided, n.most, n.held = true, 0, 0
+	n.decided, n.idle, n.most = true, c.Idle, 0
 	if n.left = c.Budget(); n.left == 0 {
 		return
 	}
