Bound connections, bytes and progress of clients by one owner

Clients that stall ended a process by memory: nothing bounded the sum of bodies on their way, the limits of the configuration for heads and pauses weren't read, and empty steps take a hundred times their bytes once decoded.

Package limiter wraps the listeners of clients, load balancer, scrapers and peers. When a budget is used up, the connection that has used the largest share of its time goes first; a request that is complete never does. Bodies are read into memory as they arrive, steps are counted while they are decoded, and huge numbers of a job are bounded, so that sums over its tasks don't overflow (the conversion differs between processors). The setting descriptors is optional.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -31,6 +31,7 @@
 	"github.com/endivelock/endivelock/internal/controller"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/limiter"
 	"github.com/endivelock/endivelock/internal/linker"
 	"github.com/endivelock/endivelock/internal/loader"
 	"github.com/endivelock/endivelock/internal/queries/inspector"
@@ -147,6 +148,7 @@
 	adviser     *adviser.Adviser
 	deputy      *delegator.Deputy
 	reading     atomic.Pointer[authenticator.Reading] // never nil; written by the follower of the configuration
+	closed      closures
 	draining    atomic.Bool
 	ctx         context.Context
 	group       errgroup.Group
@@ -278,24 +280,30 @@
 	e.logger.WithField("event", event.String()).Warn("service ended")
 }
 
-// listeners are the open sockets.
-type listeners struct{ callers, ready, peers, metrics net.Listener }
+// listeners are the open sockets, which share the budgets of the entry.
+type listeners struct{ callers, ready, peers, metrics *limiter.Listener }
 
 func (e *Entry) listen() (listeners, error) {
 	var l listeners
+	budgets := limiter.NewBudgets(e.settings.Memory<<20, e.settings.Descriptors)
+	owner := limiter.New(budgets.Bytes, e.countClosed)
 	for _, o := range []struct {
 		name    string
 		address string
-		target  *net.Listener
+		most    int
+		limits  func() limiter.Limits
+		target  **limiter.Listener
 	}{
-		{"callers", e.settings.Listen.Callers, &l.callers}, {"ready", e.settings.Listen.Ready, &l.ready},
-		{"peers", e.settings.Listen.Peers, &l.peers}, {"metrics", e.settings.Listen.Metrics, &l.metrics},
+		{"callers", e.settings.Listen.Callers, budgets.Connections, e.limits, &l.callers},
+		{"ready", e.settings.Listen.Ready, maxReadyConnections, defaultLimits, &l.ready},
+		{"peers", e.settings.Listen.Peers, budgets.Connections / 2, defaultLimits, &l.peers},
+		{"metrics", e.settings.Listen.Metrics, maxMetricsConnections, defaultLimits, &l.metrics},
 	} {
 		opened, err := net.Listen("tcp", o.address)
 		if err != nil {
 			return l, errors.Wrapf(err, "open listener for %s at %s", o.name, o.address)
 		}
-		*o.target = opened
+		*o.target = owner.Listen(opened, o.most, o.limits)
 	}
 	return l, nil
 }
@@ -318,10 +326,13 @@
 	tree.Add(e.journal)
 	tree.Add(e.linker)
 	tree.Add(service{"peers", func(ctx context.Context) error {
-		return errors.Mark(e.linker.Listen(ctx, l.peers), suture.ErrDoNotRestart)
+		return errors.Mark(e.linker.Listen(ctx, l.peers.Streams()), suture.ErrDoNotRestart)
 	}})
 	tree.Add(e.every("ticks", tickPeriod, e.tick))
-	tree.Add(e.every("survey", countsPeriod, e.logCounts))
+	tree.Add(e.every("survey", countsPeriod, func() {
+		e.logCounts()
+		e.logClosed()
+	}))
 	tree.Add(e.every("deputies", countsPeriod, e.updateDeputies))
 	tree.Add(e.configFollower())
 	tree.Add(e.leadsFollower())
@@ -329,7 +340,7 @@
 	for _, o := range []struct {
 		name     string
 		handler  http.Handler
-		listener net.Listener
+		listener *limiter.Listener
 	}{{"callers", e.Callers, l.callers}, {"ready", e.Ready, l.ready}, {"metrics", e.metricsHandler(), l.metrics}} {
 		server := newServer(o.handler, o.listener)
 		servers = append(servers, server)
--- a/internal/conductor/drain.go
+++ b/internal/conductor/drain.go
@@ -12,14 +12,11 @@
 
 	"github.com/endivelock/endivelock/internal/closer"
 	"github.com/endivelock/endivelock/internal/keeper"
+	"github.com/endivelock/endivelock/internal/limiter"
 	"github.com/endivelock/endivelock/internal/timer"
 )
 
 const (
-	// headerTimeout bounds the time to read the headers of a request, idleTimeout
-	// the time that a connection may be idle.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 	// drainNotice is how long a stopping entry still accepts requests after it has
 	// reported that it is not ready. The load balancer checks once a second and acts
 	// on the second response.
@@ -31,14 +28,14 @@
 
 // server is an HTTP server on a listener that is already open.
 type server struct {
-	http     http.Server
+	http     *http.Server
 	listener net.Listener
 	closer   closer.Closer
 }
 
-func newServer(h http.Handler, l net.Listener) *server {
+func newServer(h http.Handler, l *limiter.Listener) *server {
 	s := &server{listener: l}
-	s.http = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.closer.Track}
+	s.http = l.Server(h, s.closer.Track)
 	return s
 }
 
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -109,6 +109,9 @@
 			h.apply(leader.Committed{Batch: f.Batch})
 		case leader.Decision:
 			h.decisions = append(h.decisions, f)
+			if f.What == "hold" {
+				h.holds++
+			}
 		case leader.Renew:
 			h.renewed[f.Worker] = true
 		case leader.Order:
@@ -121,10 +124,6 @@
 				h.running[f.Task.String()] = f.Worker
 				h.apply(leader.OrderAnswered{Worker: f.Worker, Kind: f.Kind, Task: f.Task, Run: f.Run})
 			}
-		case leader.Decision:
-			if f.What == "hold" {
-				h.holds++
-			}
 		case leader.RequestAdvice:
 			h.queried = append(h.queried, f.Workers)
 			if h.adviceDelayed {
--- /dev/null
+++ b/internal/limiter/conn.go
@@ -0,0 +1,172 @@
+package limiter
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// tooLarge answers a head over the limit.
+const tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n431 Request Header Fields Too Large"
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	listener *Listener
+	account  account   // guarded by the limiter's mutex, like the fields below
+	due      time.Time // deadline for the body that is set
+	released bool
+}
+
+// SyscallConn returns the socket, which package closer inspects.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.New("the connection has no socket")
+}
+
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// enter begins a phase.
+func (c *conn) enter(p phase) {
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.account.leaving || c.account.phase == p {
+		return
+	}
+	l.update(c, c.account.withPhase(p, time.Now()))
+	if c.listener.open > c.listener.most {
+		c.listener.room.Signal()
+	}
+	switch p {
+	case inBody:
+		c.due = c.account.bodyDeadline()
+		_ = c.Conn.SetReadDeadline(c.due)
+	case deciding:
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// SetReadDeadline sets the deadline of the server. A time to come stands for the limit of the phase, but while a body
+// arrives it is a handler's, the time until which the client waits. No deadline then stands for that of the body.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.account.leaving:
+		return nil
+	case c.account.phase == inBody && (t.IsZero() || t.After(now)):
+		if !t.IsZero() {
+			l.update(c, c.account.withPatience(t))
+		}
+		c.due = c.account.bodyDeadline()
+		t = c.due
+	case c.account.phase == inHead && t.After(now):
+		t = now.Add(c.listener.limits().HeadTimeout())
+	case c.account.phase == idle && t.After(now):
+		t = now.Add(c.listener.limits().IdleTimeout())
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads and counts what arrives.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	over, gone := c.count(p[:n])
+	switch {
+	case over:
+		c.refuseHead()
+		return 0, os.ErrDeadlineExceeded
+	case gone:
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// count counts bytes that arrived. It reports whether a head is over its limit, and whether the connection
+// had to go.
+func (c *conn) count(p []byte) (over, gone bool) {
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.account.phase == idle {
+		l.update(c, c.account.withPhase(inHead, time.Now()))
+	}
+	l.update(c, c.account.withReceived(int64(len(p))))
+	switch c.account.phase {
+	case inHead:
+		if c.account.received > c.listener.limits().HeadBytes()+headSlop {
+			l.refuse(ReasonHead)
+			return true, false
+		}
+		return false, !l.hold(c, int64(len(p)+fieldBytes*bytes.Count(p, []byte{'\n'})), time.Now())
+	case inBody:
+		if due := c.account.bodyDeadline(); !c.account.leaving && due.Sub(c.due) > time.Second {
+			c.due = due
+			_ = c.Conn.SetReadDeadline(due)
+		}
+	}
+	return false, false
+}
+
+// refuseHead answers a head over the limit and reads on for a short time, so that the client gets the answer.
+func (c *conn) refuseHead() {
+	deadline := time.Now().Add(partingTime)
+	if c.Conn.SetDeadline(deadline) != nil {
+		return
+	}
+	if _, err := io.WriteString(c.Conn, tooLarge); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.Conn, partingBytes)
+}
+
+// Write writes within writeTimeout.
+func (c *conn) Write(p []byte) (int, error) {
+	l := c.listener.limiter
+	l.mu.Lock()
+	if !c.account.leaving && c.account.phase != linked {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
+	l.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and frees what it used.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.released {
+		return err
+	}
+	c.released = true
+	if c.account.leaving {
+		c.listener.leaving--
+	}
+	l.update(c, account{})
+	delete(l.conns, c)
+	c.listener.open--
+	c.listener.room.Signal()
+	return err
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -172,7 +172,7 @@
 // connect starts the protocol on a connection. Each request is handled in a
 // goroutine of its own.
 func (l *Linker) connect(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, newCodec(conn))
 	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.handle)))
 }
 
--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -30,6 +30,8 @@
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
 	Level    string        `yaml:"level"`    // log level: error, warning, info or debug
+
+	Descriptors int `yaml:"descriptors"` // file descriptors of the entry; 0 if they are not limited
 }
 
 // CellListen holds the addresses of the listeners of such an entry.
@@ -138,6 +140,7 @@
 	check(c.Far == 0 || c.Far >= 1, "far", c.Far, "0 or a number from 1")
 	check(c.Share > 0, "share", c.Share, "a number above 0")
 	check(c.Memory > 0, "memory", c.Memory, "a number above 0")
+	check(c.Descriptors >= 0, "descriptors", c.Descriptors, "a number, 0 for no limit")
 	_, err := logrus.ParseLevel(c.Level)
 	check(err == nil, "level", c.Level, "one of error, warning, info, debug")
 	return all
--- a/internal/loader/cell_test.go
+++ b/internal/loader/cell_test.go
@@ -43,6 +43,12 @@
 	c, err = loader.ParseCell("f", []byte(cell+"far: 3\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, c.Far, 3.0)
+	assert.Equal(t, c.Descriptors, 0)
+	for value, want := range map[string]int{"4100": 4100, "": 0} { // empty where the platform gives none
+		c, err = loader.ParseCell("f", []byte(cell+"descriptors: "+value+"\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, c.Descriptors, want)
+	}
 }
 
 // Errors must give the line and column of the invalid value.
@@ -58,6 +64,7 @@
 		{"keep: 120s", "keep: 120s\nrevoke: -1s", "f:13:9: revoke"},
 		{"keep: 120s", "keep: 120s\napply: soon", "f:13:8: apply"},
 		{"memory: 284", "memory: 284\nfar: 0.5", "f:15:6: far"},
+		{"memory: 284", "memory: 284\ndescriptors: -1", "f:15:14: descriptors"},
 	} {
 		_, err := loader.ParseCell("f", []byte(strings.Replace(cell, c.old, c.new, 1)))
 		assert.Assert(t, err != nil, c.new)
