Find the critical path of a job in one pass

A legal body of 1,000 steps with 100 predecessors each took 131 ms to accept, on the control thread too: the chains were worked out anew for each step. One pass gives the same result in 0.3 ms (arm64). Found while looking for what a body inside the limits can cost.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -264,21 +264,26 @@
 // CriticalPathFrom returns the estimated run time of the critical path from a step on: the
 // longest chain of dependent steps that begins with it.
 func (j Job) CriticalPathFrom(step int) time.Duration {
+	return j.chains(step)[step]
+}
+
+// chains returns the longest chain that begins with each step from one on.
+func (j Job) chains(first int) []time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
-	for i := len(j.Steps) - 1; i >= step; i-- {
+	for i := len(j.Steps) - 1; i >= first; i-- {
 		longest[i] += j.Steps[i].Estimate
 		for _, before := range j.Steps[i].After {
 			longest[before] = max(longest[before], longest[i])
 		}
 	}
-	return longest[step]
+	return longest
 }
 
 // CriticalPath returns the estimated run time of the critical path of the job.
 func (j Job) CriticalPath() time.Duration {
 	var longest time.Duration
-	for i := range j.Steps {
-		longest = max(longest, j.CriticalPathFrom(i))
+	for _, chain := range j.chains(0) {
+		longest = max(longest, chain)
 	}
 	return longest
 }
