Describe the limits of clients, and allow for delays in their times

A client counts the time of a pause from when it got the response, a delay of the network later, so 2 s are added to it and to that of a head.

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -77,9 +77,9 @@
 		c.due = c.account.bodyDeadline()
 		t = c.due
 	case c.account.phase == inHead && t.After(now):
-		t = now.Add(c.listener.limits().HeadTimeout())
+		t = now.Add(c.listener.limits().HeadTimeout() + slack)
 	case c.account.phase == idle && t.After(now):
-		t = now.Add(c.listener.limits().IdleTimeout())
+		t = now.Add(c.listener.limits().IdleTimeout() + slack)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// slack is added to the times of heads and pauses: a client counts them from when it got a response, a
+	// delay of the network later, and its bytes may wait for a busy processor.
+	slack = 2 * time.Second
 	// headSlop is what a read may take beyond the end of a head: the size of the buffer
 	// of net/http.
 	headSlop = 4 << 10
