Take the setting of the window of shares out again

Cause: the try averaged what a workspace sends over the users' 5 s window. A flood then goes ahead of the others for 5 s.

Change: 2 s again, without a setting.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -189,7 +189,7 @@
 
 func (e *Entry) policy() keeper.Policy {
 	return keeper.Policy{
-		Leader:             leader.Policy{Lease: min(e.settings.Lease, maxLease), LongestLease: e.settings.Lease, MaxStaleRenewal: renewalWindow, MinPassInterval: minPlacementInterval, ShareWindow: e.settings.Window, Far: e.settings.Far},
+		Leader:             leader.Policy{Lease: min(e.settings.Lease, maxLease), LongestLease: e.settings.Lease, MaxStaleRenewal: renewalWindow, MinPassInterval: minPlacementInterval, Far: e.settings.Far},
 		LeaderTimeout:      leaderTimeout,
 		LinkLostTimeout:    linkLostTimeout,
 		UnreachableTimeout: unreachableTimeout,
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,7 +32,6 @@
 	LongestLease    time.Duration // longest lease that a worker grants; 0 for Lease
 	MaxStaleRenewal time.Duration // longest time that a deposed leader may renew leases without the log
 	Placer          placer.Placer // chooses among the workers with room; nil means placer.BestFit
-	ShareWindow     time.Duration // time over which what a workspace sends is averaged; 0 for the default
 	Far             float64       // how many times as long a task takes away from its data or its gang; up to 1 no task waits for a rack
 	MinPassInterval time.Duration // least time between two placement passes; 0 runs one after each event
 }
@@ -100,7 +99,7 @@
 	if p.Placer == nil {
 		p.Placer = placer.BestFit{}
 	}
-	return State{policy: p, shares: sharer.Shares{}.WithWindow(p.ShareWindow), inherited: Leases{Others: p.LeaseEnd(now.Add(p.MaxStaleRenewal))}}
+	return State{policy: p, inherited: Leases{Others: p.LeaseEnd(now.Add(p.MaxStaleRenewal))}}
 }
 
 // ActiveJob is a job that has not ended, or that has ended while some of its runs
--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -25,7 +25,6 @@
 	Keep     time.Duration `yaml:"keep"`     // how long the states of ended jobs can be queried
 	Revoke   time.Duration `yaml:"revoke"`   // time after which a revoked key must not be served; 0 for no limit
 	Apply    time.Duration `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
-	Window   time.Duration `yaml:"window"`   // time over which what a workspace sends is averaged; 0 for the default
 	Far      float64       `yaml:"far"`      // how many times as long a task takes away from its data or its gang; 0 or 1 if places don't matter
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
@@ -75,7 +74,7 @@
 // its position, which the YAML decoder does not report for durations.
 func invalidDurations(file string, data []byte) ValidationErrors {
 	var all ValidationErrors
-	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply", "window"} {
+	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply"} {
 		node, err := lookupNode(data, key)
 		if err != nil {
 			continue // validate reports missing keys
@@ -136,7 +135,6 @@
 	}
 	check(c.Revoke >= 0, "revoke", c.Revoke, allowedLimit)
 	check(c.Apply >= 0, "apply", c.Apply, allowedLimit)
-	check(c.Window >= 0, "window", c.Window, "a duration with a unit such as 1500ms or 2s, or 0 for the default")
 	check(c.Far == 0 || c.Far >= 1, "far", c.Far, "0 or a number from 1")
 	check(c.Share > 0, "share", c.Share, "a number above 0")
 	check(c.Memory > 0, "memory", c.Memory, "a number above 0")
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// Burst is how much of its time a workspace may use up ahead unless a window is set:
-	// callers do not send evenly, and the clocks of entries differ.
+	// Burst is how much of its time a workspace may use up ahead: callers do not send evenly,
+	// and the clocks of entries differ.
 	Burst = 2 * time.Second
 	// BurstJobs is how many jobs it may send at once in any case: with a small weight, a few
 	// that come together at random take longer than Burst.
@@ -25,7 +25,6 @@
 // Shares is the virtual time of all workspaces that are ahead of the real one. The others
 // have none, and cost nothing. The zero value is that of idle workspaces. It is immutable.
 type Shares struct {
-	window time.Duration
 	newest int64             // latest time of a job so far
 	used   container.Ranking // until when the share of a workspace is used up
 	turns  container.Ranking // the next turn of a workspace among the jobs beyond
@@ -38,20 +37,6 @@
 	Tag    Tag       // of a job within
 }
 
-// WithWindow returns the shares with the time over which what a workspace sends is averaged:
-// it may use up that much of its time ahead. 0 stands for Burst.
-func (s Shares) WithWindow(d time.Duration) Shares {
-	s.window = d
-	return s
-}
-
-func (s Shares) burst() time.Duration {
-	if s.window == 0 {
-		return Burst
-	}
-	return s.window
-}
-
 // Standing returns the standing of a further job of a workspace that arrives at a time.
 func (s Shares) Standing(w ledger.Workspace, at time.Time) Standing {
 	_, standing := s.With(w, at)
@@ -67,7 +52,7 @@
 	if until, ahead := s.used.Score(w.Name); ahead {
 		from = until
 	}
-	if from == s.newest || from+cost-s.newest <= max(s.burst().Microseconds(), BurstJobs*cost) {
+	if from == s.newest || from+cost-s.newest <= max(Burst.Microseconds(), BurstJobs*cost) {
 		s.used = s.used.With(w.Name, from+cost)
 		return s, Standing{}
 	}
