Repeat orders on a speed after a refusal while an earlier one may be late

Cause: an order on the speed of a task that got no answer may be carried out seconds later, after the last confirmed one, so the last one is repeated for 10 s. A repeat that was refused counted as good, since the worker had confirmed that speed before: with the last repeats refused, the late order stood for good and the task stayed slowed down.

Change: a repeat that isn't carried out makes the speed unknown, so that it is ordered until the worker confirms it.

--- a/internal/leader/throttle.go
+++ b/internal/leader/throttle.go
@@ -64,6 +64,9 @@
 		h.Confirmed, h.Unknown = h.Sent, false
 	case OutcomeUnknown:
 		h.Unknown, h.DoubtfulUntil = true, h.SentAt.Add(lateOrderTime)
+	default:
+		// An earlier order may have been carried out since the last confirmation.
+		h.Unknown = h.Unknown || h.SentAt.Before(h.DoubtfulUntil)
 	}
 	return h
 }
