Order parked steps by their urgency as it is when they are released

Cause: since the lead of a workspace counts in the order, the score of a parked step no longer shows that it is late, and a step parked later was released first.

Change: the urgency of the steps that may be released is taken anew.

--- a/internal/leader/caps.go
+++ b/internal/leader/caps.go
@@ -291,6 +291,9 @@
 			if left--; left < 0 || paced && deferrable(score) {
 				break
 			}
+			if r, ok := t.resolveStep(key); ok {
+				score = t.urgency(r.job, r.round, r.step) // it may have become late since it was parked
+			}
 			found = append(found, releasable{n.need, key, score})
 		}
 	}
