--- a/internal/resister/crowd_test.go
+++ b/internal/resister/crowd_test.go
@@ -82,16 +82,15 @@
 
 // chunked returns a request with chunks of a size, the last of which and the end are one byte short.
 func chunked(size int) func(i int) []byte {
+	var chunks bytes.Buffer
+	for rest := job(maxBody); len(rest) > 0; {
+		n := min(size, len(rest))
+		fmt.Fprintf(&chunks, "%x\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	chunks.WriteString("0\r\n\r\n")
 	return func(i int) []byte {
-		var b bytes.Buffer
-		b.WriteString(headOf(i, "Transfer-Encoding: chunked\r\n\r\n"))
-		for rest := job(maxBody); len(rest) > 0; {
-			n := min(size, len(rest))
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n])
-			rest = rest[n:]
-		}
-		b.WriteString("0\r\n\r\n")
-		return short(i, b.Bytes())
+		return short(i, append([]byte(headOf(i, "Transfer-Encoding: chunked\r\n\r\n")), chunks.Bytes()...))
 	}
 }
 
