--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -214,7 +214,11 @@
 }
 
 func (e *Entry) keyPolicy() authenticator.Policy {
-	return authenticator.Policy{Revoke: e.settings.Revoke, Apply: e.settings.Apply}
+	p := authenticator.Policy{Apply: e.settings.Apply.Duration()}
+	if e.settings.Strict {
+		p.Revoke = e.settings.Revoke.Duration()
+	}
+	return p
 }
 
 // Available reports whether the entry is ready for requests, and the reason if it
--- a/internal/loader/cell.go
+++ b/internal/loader/cell.go
@@ -23,8 +23,9 @@
 	Lease    time.Duration `yaml:"lease"`    // longest lease that a worker grants
 	Grace    time.Duration `yaml:"grace"`    // time from the request to stop until the process is killed
 	Keep     time.Duration `yaml:"keep"`     // how long the states of ended jobs can be queried
-	Revoke   time.Duration `yaml:"revoke"`   // time after which a revoked key must not be served; 0 for no limit
-	Apply    time.Duration `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
+	Strict   bool          `yaml:"strict"`   // revoked keys must not be served after Revoke
+	Revoke   Milliseconds  `yaml:"revoke"`   // from the publication of a configuration that revokes a key; 0 for no limit
+	Apply    Milliseconds  `yaml:"apply"`    // time after which a new configuration must be in force; 0 for no limit
 	Far      float64       `yaml:"far"`      // how many times as long a task takes away from its data or its gang; 0 or 1 if places don't matter
 	Share    float64       `yaml:"share"`    // CPU share of the entry, in cores
 	Memory   int64         `yaml:"memory"`   // memory of the entry, in megabytes
@@ -33,6 +34,12 @@
 	Descriptors int `yaml:"descriptors"` // file descriptors of the entry; 0 if they are not limited
 }
 
+// Milliseconds is a time in milliseconds.
+type Milliseconds int64
+
+// Duration returns the time.
+func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
 // CellListen holds the addresses of the listeners of such an entry.
 type CellListen struct {
 	Callers string `yaml:"callers"`
@@ -74,7 +81,7 @@
 // its position, which the YAML decoder does not report for durations.
 func invalidDurations(file string, data []byte) ValidationErrors {
 	var all ValidationErrors
-	for _, key := range []string{"lease", "grace", "keep", "revoke", "apply"} {
+	for _, key := range []string{"lease", "grace", "keep"} {
 		node, err := lookupNode(data, key)
 		if err != nil {
 			continue // validate reports missing keys
--- a/internal/loader/schema.go
+++ b/internal/loader/schema.go
@@ -33,7 +33,7 @@
 	allowedName     = "a name of letters, digits, dots and dashes"
 	allowedAddress  = "an IP number and a port such as 10.0.0.1:7000"
 	allowedDuration = "a positive duration with a unit such as 1500ms or 2s"
-	allowedLimit    = "a duration with a unit such as 1500ms or 2s, or 0 for no limit"
+	allowedLimit    = "a number of milliseconds, or 0 for no limit"
 )
 
 // schema returns the top-level fields of a settings file.
