Check a configuration before it is sent

Cause: operators saw mistakes in a configuration only when it was in force.

The decisions are a pure query over router.Config, listed as such in the architecture test. Entries decode no more than before: services only in the check.

--- a/cmd/endivelock/main.go
+++ b/cmd/endivelock/main.go
@@ -21,7 +21,7 @@
 // arguments defines the command line for go-arg.
 type arguments struct {
 	Serve *serveCommand `arg:"subcommand:serve" help:"run an entry instance"`
-	Check *checkCommand `arg:"subcommand:check" help:"check a settings file and report all its errors"`
+	Check *checkCommand `arg:"subcommand:check" help:"check a settings file, or a configuration before it is sent"`
 
 	Schedule *scheduleCommand `arg:"subcommand:schedule" help:"run an entry that schedules jobs on a cell of the platform"`
 
--- a/cmd/endivelock/serve.go
+++ b/cmd/endivelock/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -66,18 +65,6 @@
 
 var _ error = usageError{}
 
-type checkCommand struct {
-	Config string `arg:"--config,required" help:"settings file"`
-}
-
-func (c *checkCommand) run(context.Context) error {
-	if _, err := loader.Load(c.Config); err != nil {
-		return err
-	}
-	fmt.Println(c.Config + ": settings are valid")
-	return nil
-}
-
 type serveCommand struct {
 	Config string `arg:"--config,required" help:"settings file"`
 }
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -69,7 +69,7 @@
 // The core only makes decisions: its packages must not do input or output, read the
 // clock, sleep or start goroutines.
 func TestCoreIsPure(t *testing.T) {
-	core := regexp.MustCompile(`^internal/(scheduler|container|ledger|leader|placer|rationer|router|authenticator|bookkeeper|sharer|estimator|waiter)/`)
+	core := regexp.MustCompile(`^internal/(scheduler|container|ledger|leader|placer|rationer|router|authenticator|bookkeeper|sharer|estimator|waiter|queries/checker)/`)
 	allowed := regexp.MustCompile(`^(cmp|container/heap|crypto/sha256|fmt|iter|maps|slices|strconv|strings|time|github.com/benbjohnson/immutable|github.com/cespare/xxhash/v2|github.com/endivelock/endivelock/internal/(container|ledger|placer|rationer|router|bookkeeper|sharer|estimator|waiter))$`)
 	for _, f := range files(t) {
 		if !core.MatchString(f.path) || isTest(f) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,10 +39,23 @@
 	IdleTimeout   time.Duration // time without a request on a connection; 0 for the default
 }
 
+// Service is a service whose workers run tasks. Entries learn of services from their workers and
+// decode none; the check of a configuration does.
+type Service struct {
+	Name           string
+	HealthPath     string
+	Connections    float64 // most connections to a worker
+	Protocol       string
+	TLS            bool
+	AdmissionCheck bool
+	Spare          bool
+}
+
 // Config is one version of the configuration.
 type Config struct {
 	Version    int64
 	Routes     []Route
+	Services   []Service   // only in a configuration that is checked before it is sent
 	Workspaces []Workspace // none if requests need no keys
 	Limits     Limits
 }
