--- a/cmd/endivelock/check.go
+++ b/cmd/endivelock/check.go
@@ -16,23 +16,27 @@
 	adapter "github.com/endivelock/endivelock/platform"
 )
 
+// platformTimeout bounds a call to the platform's log.
+const platformTimeout = 5 * time.Second
+
 // checkCommand checks a settings file, or a configuration before it is sent.
 type checkCommand struct {
-	File    string        `arg:"positional" help:"configuration (JSON); exit codes: 0 clean, 1 findings, 2 unreadable"`
-	Against string        `arg:"--against" placeholder:"FILE" help:"configuration in force: print what differs, which is no finding"`
-	Revoke  time.Duration `arg:"--revoke" placeholder:"TIME" help:"revoke of the settings, such as 5s"`
-	Apply   time.Duration `arg:"--apply" placeholder:"TIME" help:"apply of the settings"`
-	Memory  int64         `arg:"--memory" placeholder:"MB" help:"memory of an entry, to find bodies that it can't hold"`
-	JSON    bool          `arg:"--json" help:"print JSON"`
-	Config  string        `arg:"--config" placeholder:"FILE" help:"check a settings file of serve instead; exit codes: 0 valid, 2 not. That of schedule: endivelock schedule --check"`
+	File     string        `arg:"positional" help:"configuration (JSON); exit codes: 0 clean, 1 findings, 2 unreadable"`
+	Against  string        `arg:"--against" placeholder:"FILE" help:"configuration in force: print what differs, which is no finding"`
+	Platform string        `arg:"--platform" placeholder:"ADDRESS" help:"log of the platform (host:port), to read the configuration in force from it"`
+	Revoke   time.Duration `arg:"--revoke" placeholder:"TIME" help:"revoke of the settings, such as 5s"`
+	Apply    time.Duration `arg:"--apply" placeholder:"TIME" help:"apply of the settings"`
+	Memory   int64         `arg:"--memory" placeholder:"MB" help:"memory of an entry, to find bodies that it can't hold"`
+	JSON     bool          `arg:"--json" help:"print JSON"`
+	Config   string        `arg:"--config" placeholder:"FILE" help:"check a settings file of serve instead; exit codes: 0 valid, 2 not. That of schedule: endivelock schedule --check"`
 }
 
-func (c *checkCommand) run(context.Context) error {
+func (c *checkCommand) run(ctx context.Context) error {
 	if (c.File == "") == (c.Config == "") {
 		return usageError{errors.New("check needs either a configuration or --config and a settings file")}
 	}
 	if c.Config == "" {
-		return c.checkConfiguration()
+		return c.checkConfiguration(ctx)
 	}
 	if c.options() {
 		return usageError{errors.New("the options of a configuration don't go with --config")}
@@ -46,13 +50,16 @@
 
 // options reports whether an option is set that only a configuration has.
 func (c *checkCommand) options() bool {
-	return c.Against != "" || c.Revoke != 0 || c.Apply != 0 || c.Memory != 0 || c.JSON
+	return c.Against != "" || c.Platform != "" || c.Revoke != 0 || c.Apply != 0 || c.Memory != 0 || c.JSON
 }
 
-func (c *checkCommand) checkConfiguration() error {
+func (c *checkCommand) checkConfiguration(ctx context.Context) error {
 	if c.Revoke < 0 || c.Apply < 0 || c.Memory < 0 {
 		return usageError{errors.New("--revoke, --apply and --memory must not be negative")}
 	}
+	if c.Against != "" && c.Platform != "" {
+		return usageError{errors.New("--against and --platform exclude each other")}
+	}
 	draft, err := readDraft(c.File)
 	if err != nil {
 		return err
@@ -66,8 +73,8 @@
 		report.Findings = append(report.Findings, finding{Severity: checker.Error, Text: draft.Refused.Error()})
 	}
 	report.addFindings(checker.Check(draft.Config, b))
-	if c.Against != "" {
-		force, err := readDraft(c.Against)
+	if c.Against != "" || c.Platform != "" {
+		force, err := c.inForce(ctx)
 		if err != nil {
 			return err
 		}
@@ -83,6 +90,23 @@
 	return nil
 }
 
+// inForce reads the configuration in force.
+func (c *checkCommand) inForce(ctx context.Context) (adapter.Draft, error) {
+	if c.Platform == "" {
+		return readDraft(c.Against)
+	}
+	log := adapter.Platform{Log: &adapter.Log{Client: adapter.NewClient(1), Address: c.Platform, Timeout: platformTimeout}}
+	data, err := log.Published(ctx)
+	if err != nil {
+		return adapter.Draft{}, usageError{fmt.Errorf("configuration in force: %w", err)}
+	}
+	d, err := adapter.ParseDraft(data)
+	if err != nil {
+		return adapter.Draft{}, usageError{fmt.Errorf("configuration in force: %w", err)}
+	}
+	return d, nil
+}
+
 func readDraft(name string) (adapter.Draft, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
--- a/cmd/endivelock/check_test.go
+++ b/cmd/endivelock/check_test.go
@@ -1,6 +1,10 @@
 package main_test
 
 import (
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +17,9 @@
 
 // The output and exit codes of the checks, of the program as a process.
 func TestCheck(t *testing.T) {
+	log := httptest.NewServer(http.HandlerFunc(serveForce))
+	defer log.Close()
+	t.Setenv("LOG", log.Listener.Addr().String())
 	program := filepath.Join(t.TempDir(), "endivelock")
 	icmd.RunCommand("go", "build", "-o", program, ".").Assert(t, icmd.Success)
 	for _, c := range []struct {
@@ -22,6 +29,9 @@
 		{"clean", "force.json --revoke 5s --apply 3s --memory 256", 0},
 		{"differs", "next.json --against force.json", 0},
 		{"differs.json", "next.json --against force.json --json", 0},
+		{"differs", "next.json --platform $LOG", 0},
+		{"no-log", "next.json --platform 127.0.0.1:1", 2},
+		{"both-forces", "next.json --platform $LOG --against force.json", 2},
 		{"same", "force.json --against force.json", 0},
 		{"faulty", "faulty.json --against force.json --revoke 2s --apply 3s --memory 256", 1},
 		{"faulty.json", "faulty.json --json", 1},
@@ -39,7 +49,7 @@
 		{"help", "--help", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			command := icmd.Command(program, append([]string{"check"}, strings.Fields(c.arguments)...)...)
+			command := icmd.Command(program, append([]string{"check"}, strings.Fields(os.ExpandEnv(c.arguments))...)...)
 			command.Dir = filepath.Join("testdata", "check")
 			result := icmd.RunCmd(command)
 			assert.Equal(t, result.ExitCode, c.code, result.Combined())
@@ -48,6 +58,16 @@
 	}
 }
 
+// serveForce serves force.json as the platform's log does.
+func serveForce(w http.ResponseWriter, r *http.Request) {
+	data, err := os.ReadFile(filepath.Join("testdata", "check", "force.json"))
+	if err != nil || r.URL.Path != "/log-newest" || r.URL.Query().Get("topic") != "keyed.op" {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = fmt.Fprintf(w, `{"items":[{"key":"wave/1","value":"e30="},{"key":"config","value":%q}]}`, base64.StdEncoding.EncodeToString(data))
+}
+
 // No golden file repeats a key.
 func TestCheckShowsNoKey(t *testing.T) {
 	names, err := filepath.Glob(filepath.Join("testdata", "check", "*.golden"))
