Mend where caps meet waits, shares and preemption

Cause: the parts did not know of each other. A step that its cap held back went on using up its wait for a rack, and stopped runs as soon as it was released. The reserve kept room for tasks that their cap does not let start. A wait for a rack counted as no room, so that jobs were refused while there was some. A full cap did not count, so that a flood at its cap was taken in for ever. Parked steps beyond a share lost their turn once it had passed, late ones of a lower priority kept theirs while a higher one waited, and one whose workspace is ahead of its part was released before others that rank first.

Change: parking pauses the wait; the delay before a preemption counts from the release; the reserve counts what fits under the cap; only steps without room are noted as such, and parked ones beyond their share count; parked steps are demoted by priority and released by their urgency of now.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -124,6 +124,7 @@
 	if len(queried) == 0 {
 		p.failedSearches.Spend(r.key)
 		p.deferStep(r)
+		p.noteFull(r.job)
 		return
 	}
 	workers, counts := make([]string, len(queried)), p.countCalls()
--- a/internal/leader/caps.go
+++ b/internal/leader/caps.go
@@ -29,7 +29,8 @@
 // heldStep is a waiting step that the cap of its workspace has held back.
 type heldStep struct {
 	workspace string
-	need      string // under which it is parked, empty while it is not
+	need      string    // under which it is parked, empty while it is not
+	released  time.Time // when it was last taken back
 }
 
 // need is what a step needs to start: a number of tasks at once.
@@ -164,10 +165,11 @@
 	} else if !ok {
 		p.emit(Decision{What: "hold", Job: r.job.Job.ID, Task: r.key, Why: p.capReason(workspace)})
 	}
+	p.pauseNearWait(r.key)
 	score, _ := p.waiting.Score(r.key)
 	p.waiting, p.services, p.retryAt = p.waiting.Without(r.key), p.services.Without(r.key), p.retryAt.Without(r.key)
 	p.fullTurns, p.searchTurns = p.fullTurns.Without(r.key), p.searchTurns.Without(r.key)
-	p.held = p.held.With(r.key, heldStep{workspace, n.name()})
+	p.held = p.held.With(r.key, heldStep{workspace: workspace, need: n.name()})
 	needs, _ := p.parked.Get(workspace)
 	same, _ := needs.Get(n.name())
 	p.parked = p.parked.With(workspace, needs.With(n.name(), parkedNeed{n, same.steps.With(r.key, score)}))
@@ -196,6 +198,33 @@
 	return h.need != ""
 }
 
+// mayStartSince returns since when a step could start that has been ready since a time.
+func (c capacities) mayStartSince(key string, ready time.Time) time.Time {
+	if h, _ := c.held.Get(key); h.released.After(ready) {
+		return h.released
+	}
+	return ready
+}
+
+// capFull reports whether the cap of a workspace holds back tasks of jobs of a priority that
+// are beyond its share.
+func (c capacities) capFull(workspace string, priority int) bool {
+	needs, _ := c.parked.Get(workspace)
+	from := int64(maxPriority+1+priority) * priorityWeight
+	for _, n := range needs.All() {
+		if n.tasks > 1 || c.account.Fits(workspace, n.size, n.tasks) {
+			continue // a gang may wait while others start
+		}
+		for _, score := range n.steps.From(from) {
+			if score < from+priorityWeight {
+				return true
+			}
+			break
+		}
+	}
+	return false
+}
+
 // Standings returns what the workspaces that use most of their cap may have running, at most
 // limit.
 func (s State) Standings(limit int) []bookkeeper.Standing { return s.account.Largest(limit) }
@@ -216,7 +245,7 @@
 	if h.need == "" {
 		return
 	}
-	t.held = t.held.With(key, heldStep{workspace: h.workspace})
+	t.held = t.held.With(key, heldStep{workspace: h.workspace, released: t.now})
 	t.parkedSteps--
 	needs, _ := t.parked.Get(h.workspace)
 	same, _ := needs.Get(h.need)
@@ -304,14 +333,18 @@
 }
 
 // demoteParked ranks the parked steps of a need anew that can no longer meet their objective, as
-// demoteLate does, and returns the need. It stops at the first that can.
+// demoteLate does, and returns the need.
 func (t *transition) demoteParked(workspace string, n parkedNeed) parkedNeed {
-	before, lateBefore := n.steps, t.now.Add(t.lateMargin()).UnixMilli()
-	for key, score := range before.From(minScore) {
-		if score%priorityWeight >= lateBefore {
-			break
+	before, margin := n.steps, t.now.Add(t.lateMargin()).UnixMilli()
+	for priority := range int64(maxPriority + 1) {
+		for key, score := range before.From(priority * priorityWeight) {
+			if score >= priority*priorityWeight+margin {
+				break
+			}
+			if r, ok := t.resolveStep(key); ok {
+				n.steps = n.steps.With(key, t.urgency(r.job, r.round, r.step))
+			}
 		}
-		n.steps = n.steps.With(key, score+latePenalty)
 	}
 	if n.steps != before {
 		needs, _ := t.parked.Get(workspace)
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -42,6 +42,7 @@
 	p.pauseNearWait(r.key)
 	p.fullSteps.Spend(r.key)
 	p.deferStep(r)
+	p.noteFull(r.job)
 }
 
 // isNear reports whether a gang runs no longer than it must in a rack; "" stands for several.
--- a/internal/leader/near.go
+++ b/internal/leader/near.go
@@ -247,7 +247,7 @@
 		return
 	}
 	p, r := n.pass, n.ref
-	if n.held == 0 {
+	if n.held == 0 || p.isParked(r.key) {
 		p.pauseNearWait(r.key)
 		return
 	}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -122,7 +122,6 @@
 		pause = min(backlog*urgentRetryPausePerStep, maxUrgentRetryPause)
 	}
 	p.retryAt = p.retryAt.With(r.key, p.now.Add(pause))
-	p.noteFull(r.job)
 }
 
 // minScore is less than the score of every ranked step.
@@ -191,6 +190,7 @@
 		if i < 0 {
 			p.fullSteps.Spend(r.key)
 			p.deferStep(r)
+			p.noteFull(r.job)
 			p.preempt(r, eligible, counts, near.held)
 			return
 		}
@@ -370,7 +370,7 @@
 	if r.job.Job.Queue.Priority != 0 || p.deferrable {
 		return
 	}
-	if since, ok := p.readySince.Get(r.key); !ok || p.now.Sub(since) < preemptDelay {
+	if since, ok := p.readySince.Get(r.key); !ok || p.now.Sub(p.mayStartSince(r.key, since)) < preemptDelay {
 		return
 	}
 	spec, missing := r.spec(), -waiting
--- a/internal/leader/reserve.go
+++ b/internal/leader/reserve.go
@@ -18,20 +18,21 @@
 	capacity ledger.Resources
 }
 
-// reserveFor keeps room for the idle tasks of a step within the share of its workspace.
+// reserveFor keeps room for the idle tasks of a step within the share of its workspace, as far
+// as its cap lets them start. Those that wait for a rack count: they may go elsewhere yet.
 func (p *placementPass) reserveFor(key string) {
 	if p.beyond == 0 {
 		return
 	}
 	r, ok := p.resolveStep(key)
-	if !ok || r.job.Standing.Beyond || r.spec().LongRunning {
+	if !ok || r.job.Standing.Beyond || r.spec().LongRunning || p.isParked(key) {
 		return
 	}
 	s := p.reserveOf(r)
 	if full := s.bound(); !full.CanFit(s.wanted) {
 		return // nothing more can be kept
 	}
-	s.wanted = s.wanted.Plus(r.spec().Reservation().Times(p.countIdle(r)))
+	s.wanted = s.wanted.Plus(r.spec().Reservation().Times(p.underCap(r, p.countIdle(r))))
 }
 
 // reserveOf returns the reserve at the service of a step.
--- a/internal/leader/shares.go
+++ b/internal/leader/shares.go
@@ -189,7 +189,7 @@
 	if !waits || !s.shares.Standing(w, now).Beyond {
 		return Refusal{}, false
 	}
-	rate, full := b.rate(now), now.Sub(b.fullAt) < fullTime || now.Sub(s.shortAt) < fullTime
+	rate, full := b.rate(now), now.Sub(b.fullAt) < fullTime || now.Sub(s.shortAt) < fullTime || s.capFull(c.Workspace, c.Priority)
 	v := estimator.Judge(estimator.Backlog{Jobs: b.jobs, Rate: rate, Covered: sharer.Rate(w), Full: full}, estimator.Job{Chain: c.Chain, Limit: c.Limit})
 	return Refusal{
 		Workspace: c.Workspace, Backlog: b.jobs, Rate: rate, Weight: sharer.Rate(w), Done: v.Done, RetryAfter: v.RetryAfter, Version: s.workspaces.version,
