Draw floods beyond shares in the simulation of caps

Cause: the simulation drew caps, racks and takeovers, but hardly any job beyond its share, and a new leader was not told of ended jobs. Change: floods of a workspace, settled jobs at takeovers, bounds on the counted backlogs, and nothing left of runs or waiting steps once all jobs have ended.

--- a/internal/leader/caps_simulation_test.go
+++ b/internal/leader/caps_simulation_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,7 +24,12 @@
 	if len(c.versions) == 0 || rapid.IntRange(0, 3).Draw(t, "free") == 0 {
 		return j
 	}
-	j.Workspace = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace")
+	return c.inWorkspace(j, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"))
+}
+
+// inWorkspace has a job count against a workspace.
+func (c simCaps) inWorkspace(j ledger.Job, workspace string) ledger.Job {
+	j.Workspace = workspace
 	most := c.versions[len(c.versions)-1][j.Workspace]
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -64,11 +70,67 @@
 	}
 	e := leader.WorkspacesChanged{Version: int64(c.known)}
 	for name, most := range c.versions[c.known-1] {
-		e.Workspaces = append(e.Workspaces, ledger.Workspace{Name: name, Cap: most})
+		e.Workspaces = append(e.Workspaces, ledger.Workspace{Name: name, Cap: most, Weight: simWeight})
 	}
 	sm.apply(e)
 }
 
+const (
+	// simWeight has workspaces send beyond their shares soon.
+	simWeight = 0.1
+	// maxFlooded bounds the jobs of a simulation.
+	maxFlooded = 20
+)
+
+// flood accepts jobs of one workspace at once, some of them beyond its share.
+func (sm *simulation) flood(t *rapid.T) {
+	if len(sm.caps.versions) == 0 || len(sm.jobs) > maxFlooded {
+		return
+	}
+	workspace := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "flooding")
+	for range rapid.IntRange(4, 8).Draw(t, "jobs") {
+		id := ledger.ID(fmt.Sprintf("j%d", len(sm.jobs)))
+		sm.jobs[id] = sm.caps.inWorkspace(drawJob(t, id, sm.now), workspace)
+		sm.apply(leader.Accepted{Job: sm.jobs[id]})
+	}
+	sm.checkBacklogs()
+}
+
+// checkBacklogs fails the test if the leader counts other jobs as waiting beyond a share than
+// there may be.
+func (sm *simulation) checkBacklogs() {
+	most := map[ledger.Claim]int{}
+	for id, j := range sm.jobs {
+		if !sm.log[id].State.Final() {
+			most[ledger.Claim{Workspace: j.Workspace, Priority: j.Queue.Priority}]++
+		}
+	}
+	for _, workspace := range []string{"a", "b"} {
+		for priority := range 3 {
+			c := ledger.Claim{Workspace: workspace, Priority: priority}
+			if r, _ := sm.state.Refuses(c, sm.now); r.Backlog < 0 || r.Backlog > most[c] {
+				sm.t.Fatalf("backlog of %+v is %d of %d jobs", c, r.Backlog, most[c])
+			}
+		}
+	}
+}
+
+// checkEmpty fails the test if the leader counts runs or waiting steps though all has ended.
+func (sm *simulation) checkEmpty() {
+	sm.checkBacklogs()
+	for _, id := range sm.jobIDs() {
+		if !sm.log[id].Terminated() {
+			return
+		}
+	}
+	if left := sm.state.Standings(9); len(left) > 0 {
+		sm.t.Fatalf("use is left after all jobs: %+v", left)
+	}
+	if left := sm.state.Counts(sm.now).WaitingSteps; left != 0 {
+		sm.t.Fatalf("%d steps are left after all jobs", left)
+	}
+}
+
 // checkCap fails the test if a start brings what runs at the workers of a workspace above the
 // highest of the caps that may be in force for it, except for one task if it, or its gang, is
 // larger than the cap alone. It counts only what the workers execute.
@@ -102,7 +164,7 @@
 	}
 }
 
-// Guards the caps of workspaces under random loss, delay, partitions, restarts, takeovers and
+// Guards the caps and shares of workspaces, beside waits for racks, under random loss, delay, partitions, restarts, takeovers and
 // changes of the configuration, beside the rules of TestNoStartBreaksARule; and guards against
 // jobs that wait for ever for their cap: each ends once the faults have ended, unless a gang
 // is too large for the last cap.
@@ -118,6 +180,7 @@
 		for range maxSettlings {
 			settle(sm)
 			if left = sm.unfinished(); left == "" {
+				sm.checkEmpty()
 				return
 			}
 		}
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 				sm.apply(leader.Accepted{Job: sm.jobs[id]})
 			}
 		},
+		"flood": func(t *rapid.T) { sm.flood(t) },
 		"cancel": func(*rapid.T) {
 			if len(sm.jobs) > 0 && pick(4) == 0 {
 				id := sm.jobIDs()[pick(len(sm.jobs))]
@@ -219,3 +221,31 @@
 		assert.Equal(t, sm.acked["w0"].Number, int64(2))
 	})
 }
+
+// restart replaces a worker by a new incarnation without state. Orders in transit
+// are lost with the connections of the old one.
+func (sm *simulation) restart(id string) {
+	for i := len(sm.orders) - 1; i >= 0; i-- {
+		if s := sm.orders[i]; s.order.Worker == id {
+			sm.orders = slices.Delete(sm.orders, i, i+1)
+			sm.answer(s, leader.OutcomeUnknown)
+		}
+	}
+	target := sm.workers[id]
+	target.incarnation++
+	target.fence, target.lastEnd = 0, 0
+	target.running, target.highestRun, target.ends = map[string]simRun{}, map[string]int{}, nil
+	l := target.listing
+	l.Incarnation = target.incarnation
+	sm.apply(leader.Listed{Listing: l})
+}
+
+func (sm *simulation) answerAdvice() {
+	a := sm.adviceCalls[0]
+	sm.adviceCalls = sm.adviceCalls[1:]
+	var permits []leader.Permit
+	for _, id := range a.Workers {
+		permits = append(permits, leader.Permit{Worker: id, Ticket: "t"})
+	}
+	sm.apply(leader.AdviceAnswered{Call: a.Call, Permits: permits})
+}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -221,6 +221,7 @@
 		e := leader.Accepted{Job: sm.jobs[id]}
 		if p, ok := sm.log[id]; ok {
 			if p.Terminated() {
+				sm.apply(leader.Settled{Job: sm.jobs[id]})
 				continue
 			}
 			e.Progress = &p
@@ -486,31 +487,3 @@
 	}
 	sm.apply(leader.Ticked{})
 }
-
-// restart replaces a worker by a new incarnation without state. Orders in transit
-// are lost with the connections of the old one.
-func (sm *simulation) restart(id string) {
-	for i := len(sm.orders) - 1; i >= 0; i-- {
-		if s := sm.orders[i]; s.order.Worker == id {
-			sm.orders = slices.Delete(sm.orders, i, i+1)
-			sm.answer(s, leader.OutcomeUnknown)
-		}
-	}
-	target := sm.workers[id]
-	target.incarnation++
-	target.fence, target.lastEnd = 0, 0
-	target.running, target.highestRun, target.ends = map[string]simRun{}, map[string]int{}, nil
-	l := target.listing
-	l.Incarnation = target.incarnation
-	sm.apply(leader.Listed{Listing: l})
-}
-
-func (sm *simulation) answerAdvice() {
-	a := sm.adviceCalls[0]
-	sm.adviceCalls = sm.adviceCalls[1:]
-	var permits []leader.Permit
-	for _, id := range a.Workers {
-		permits = append(permits, leader.Permit{Worker: id, Ticket: "t"})
-	}
-	sm.apply(leader.AdviceAnswered{Call: a.Call, Permits: permits})
-}
