Close no connection at a limit that has done nothing wrong

Cause: a limit that passed while the machine was frozen closed connections whose bytes waited in the socket. A DELETE with a body, and a body whose end was read at that moment, could be closed for a budget while they ran. Complete bodies of clients used up the budget of bytes, so that a message of another entry above 8 KB ended its link. A client that declared more than 256 KB held up new ones for the 500 ms that net/http waits after the answer. The mutex of the limiter was held while a close waited for the read of that connection. A close in the middle of a message could count as leaving for good.

Change: a second read of 500 ms after a limit; deciding begins with the end of the body under one lock, and with the handler for DELETE; a budget of the same size for messages of entries; a connection that was told to close ends with CloseWrite; evictions end the read, and the server closes.

--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -24,25 +24,30 @@
 // Read reads from the body and counts its bytes against the budget.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if !b.conn.hold(int64(n)) {
+	if !b.conn.hold(int64(n), errors.Is(err, io.EOF)) {
 		return 0, ErrCrowded
 	}
-	switch {
-	case errors.Is(err, io.EOF):
-		b.conn.enter(deciding)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		b.conn.listener.limiter.refuse(ReasonSlow)
 		return 0, ErrSlow
 	}
 	return n, err
 }
 
-// hold holds bytes of the body. It reports false if the connection had to go.
-func (c *conn) hold(n int64) bool {
+// hold holds bytes of the body, and begins to decide once they are complete. It reports false if the connection had
+// to go.
+func (c *conn) hold(n int64, complete bool) bool {
 	l := c.listener.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !c.account.leaving && l.hold(c, n, time.Now())
+	now := time.Now()
+	if c.account.leaving || !l.hold(c, n, now) {
+		return false
+	}
+	if complete {
+		c.begin(deciding, now)
+	}
+	return true
 }
 
 // ReadAll reads a body of a declared size, -1 if it is not known. It takes memory as the bytes arrive, and no more
--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -20,6 +20,7 @@
 	listener *Listener
 	account  account   // guarded by the limiter's mutex, like the fields below
 	due      time.Time // deadline for the body that is set
+	timed    bool      // a limit ends the next read, and it has not been looked at again
 	released bool
 }
 
@@ -31,8 +32,16 @@
 	return nil, errors.New("the connection has no socket")
 }
 
-// CloseWrite closes the sending side.
+// CloseWrite closes the sending side. A connection that was told to close is closed at once, since the server would
+// wait for its client.
 func (c *conn) CloseWrite() error {
+	l := c.listener.limiter
+	l.mu.Lock()
+	leaving := c.account.leaving
+	l.mu.Unlock()
+	if leaving {
+		return c.Close()
+	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -44,18 +53,25 @@
 	l := c.listener.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.begin(p, time.Now())
+}
+
+// begin begins a phase. The caller holds limiter.mu.
+func (c *conn) begin(p phase, now time.Time) {
 	if c.account.leaving || c.account.phase == p {
 		return
 	}
-	l.update(c, c.account.withPhase(p, time.Now()))
+	c.listener.limiter.update(c, c.account.withPhase(p, now))
 	if c.listener.open > c.listener.most {
 		c.listener.room.Signal()
 	}
 	switch p {
 	case inBody:
 		c.due = c.account.bodyDeadline()
+		c.timed = true
 		_ = c.Conn.SetReadDeadline(c.due)
 	case deciding:
+		c.timed = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
@@ -67,9 +83,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	switch {
-	case c.account.leaving:
+	if c.account.leaving {
 		return nil
+	}
+	c.timed = t.After(now) || c.account.phase == inBody && t.IsZero()
+	switch {
 	case c.account.phase == inBody && (t.IsZero() || t.After(now)):
 		if !t.IsZero() {
 			l.update(c, c.account.withPatience(t))
@@ -84,9 +102,24 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// lookAgain reports whether a limit has ended a read, and allows another read to find what had arrived by then.
+func (c *conn) lookAgain() bool {
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.account.leaving || !c.timed {
+		return false
+	}
+	c.timed = false
+	return c.Conn.SetReadDeadline(time.Now().Add(secondLook)) == nil
+}
+
 // Read reads and counts what arrives.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.lookAgain() {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -120,7 +153,7 @@
 		return false, !l.hold(c, int64(len(p)+fieldBytes*bytes.Count(p, []byte{'\n'})), time.Now())
 	case inBody:
 		if due := c.account.bodyDeadline(); !c.account.leaving && due.Sub(c.due) > time.Second {
-			c.due = due
+			c.due, c.timed = due, true
 			_ = c.Conn.SetReadDeadline(due)
 		}
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -28,13 +28,21 @@
 	bytes  int64
 	refuse func(reason string) // counts a refusal; must not call the Limiter
 
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	large   int64 // bytes of all connections that count against the budget
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	requests pool
+	messages pool // of other entries, so that clients don't end their links
+}
+
+// pool counts what is held against a budget of bytes.
+type pool struct {
+	large   int64 // bytes of all connections that count
 	leaving int64 // the part of large at connections that are being closed
 }
 
-// New returns a limiter with a budget of bytes. It calls refused for each connection that it closes or
+func (p *pool) held() int64 { return p.large - p.leaving }
+
+// New returns a limiter with a budget of bytes for requests, and as much for messages of other entries. It calls refused for each connection that it closes or
 // request that it refuses, with the reason.
 func New(bytes int64, refused func(reason string)) *Limiter {
 	return &Limiter{bytes: bytes, refuse: refused, conns: map[*conn]struct{}{}}
@@ -43,17 +51,18 @@
 // Listen returns a listener that accepts from another one and keeps at most as many connections open as
 // given. The limits are looked up for each request.
 func (l *Limiter) Listen(on net.Listener, connections int, limits func() Limits) *Listener {
-	return &Listener{Listener: on, limiter: l, most: connections, limits: limits, room: sync.NewCond(&l.mu)}
+	return &Listener{Listener: on, limiter: l, pool: &l.requests, most: connections, limits: limits, room: sync.NewCond(&l.mu)}
 }
 
 // update sets the account of a connection. The caller holds l.mu.
 func (l *Limiter) update(c *conn, a account) {
-	l.large += a.large() - c.account.large()
+	pool := c.listener.pool
+	pool.large += a.large() - c.account.large()
 	if c.account.leaving {
-		l.leaving -= c.account.large()
+		pool.leaving -= c.account.large()
 	}
 	if a.leaving {
-		l.leaving += a.large()
+		pool.leaving += a.large()
 	}
 	c.account = a
 }
@@ -61,9 +70,13 @@
 // hold adds bytes to what a connection holds and closes others, the slowest first, until the budget holds.
 // It reports false if the connection itself had to go. The caller holds l.mu.
 func (l *Limiter) hold(c *conn, n int64, now time.Time) bool {
+	if c.released {
+		return false
+	}
 	l.update(c, c.account.withHeld(c.account.held+n))
-	for l.large-l.leaving > l.bytes && l.large-l.leaving > c.account.large() {
-		victim := l.slowest(now, func(o *conn) bool { return o.account.large() > 0 })
+	pool := c.listener.pool
+	for pool.held() > l.bytes && pool.held() > c.account.large() {
+		victim := l.slowest(now, func(o *conn) bool { return o.listener.pool == pool && o.account.large() > 0 })
 		if victim == nil {
 			victim = c
 		}
@@ -92,16 +105,11 @@
 }
 
 // evict ends a connection. A request whose body is arriving gets an answer; otherwise there is none to
-// answer. The caller holds l.mu.
+// answer. Its server closes it, since closing waits for the pending read. The caller holds l.mu.
 func (l *Limiter) evict(c *conn, reason string, now time.Time) {
 	l.refuse(reason)
-	answers := c.account.phase == inBody
 	l.update(c, c.account.withLeaving())
 	c.listener.leaving++
-	if !answers {
-		_ = c.Conn.Close() // its server notices this by its pending read
-		return
-	}
 	_ = c.Conn.SetWriteDeadline(now.Add(partingTimeout))
 	_ = c.Conn.SetReadDeadline(now)
 }
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -22,6 +22,9 @@
 	// slack is added to the times of heads and pauses: a client counts them from when it got a response, a
 	// delay of the network later, and its bytes may wait for a busy processor.
 	slack = 2 * time.Second
+	// secondLook is the time of a read after a limit. On a machine that was frozen or is busy, a limit may pass
+	// while the bytes wait in the socket.
+	secondLook = 500 * time.Millisecond
 	// headSlop is what a read may take beyond the end of a head: the size of the buffer
 	// of net/http.
 	headSlop = 4 << 10
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -12,6 +12,7 @@
 type Listener struct {
 	net.Listener
 	limiter *Limiter
+	pool    *pool
 	most    int
 	limits  func() Limits
 	room    *sync.Cond // on limiter.mu; signalled when a connection has closed or can be
@@ -24,7 +25,7 @@
 
 // Streams returns the listener for connections that carry messages of other entries instead of requests.
 func (l *Listener) Streams() *Listener {
-	l.streams = true
+	l.streams, l.pool = true, &l.limiter.messages
 	return l
 }
 
@@ -124,6 +125,11 @@
 			// The server looks at its own request when it answers, so this one is another.
 			r = r.WithContext(r.Context())
 			r.Body = &body{ReadCloser: r.Body, conn: c}
+			if r.Method == http.MethodDelete {
+				// What it asks for runs without its body, which the server reads afterwards.
+				c.enter(deciding)
+				defer c.enter(inBody)
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
