--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -62,7 +62,7 @@
 		return
 	}
 	c.listener.limiter.update(c, c.account.withPhase(p, now))
-	if c.listener.open > c.listener.most {
+	if p != deciding && c.listener.open > c.listener.most {
 		c.listener.room.Signal()
 	}
 	switch p {
@@ -173,8 +173,19 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, partingBytes)
 }
 
-// Write writes within writeTimeout.
+// Write writes, a piece of writePiece bytes within writeTimeout.
 func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.write(p[written:min(written+writePiece, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	l := c.listener.limiter
 	l.mu.Lock()
 	if !c.account.leaving && c.account.phase != linked {
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -43,9 +43,10 @@
 	// that take longer are told from others when a budget is used up.
 	fairBodyTime = 3 * time.Second
 	fairRate     = 256 << 10
-	// writeTimeout bounds a write to a client that doesn't read, partingTimeout one to a
-	// client that is closed.
+	// writeTimeout bounds a write of up to writePiece bytes to a client that doesn't read, partingTimeout
+	// one to a client that is closed.
 	writeTimeout   = 10 * time.Second
+	writePiece     = 64 << 10
 	partingTimeout = time.Second
 	// partingTime and partingBytes bound what is read of a client after a refusal, so that
 	// the refusal isn't lost in a reset.
