Check that a planned stop sees unread requests through the limiter

Cause: package closer inspects the socket, which the connection of the limiter wraps.

Change: a test with both packages.

Result: it holds; tests of limiter pass three times with -race.

--- a/internal/limiter/delay_test.go
+++ b/internal/limiter/delay_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivelock/endivelock/internal/closer"
 	"github.com/endivelock/endivelock/internal/limiter"
 )
 
@@ -137,3 +138,28 @@
 	defer func() { _ = link.Close() }()
 	assert.NilError(t, link.(interface{ Hold(n int) error }).Hold(50*kilobyte))
 }
+
+// A planned stop looks for requests that are in the socket, through the connection of the limiter.
+func TestAStopSeesUnreadRequests(t *testing.T) {
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := limiter.New(1<<20, func(string) {}).Listen(on, 10, func() limiter.Limits { return limiter.Limits{} })
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", on.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = client.Close() }()
+	conn, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	var c closer.Closer
+	c.Track(conn, http.StateIdle)
+	send(t, client, head(100))
+	time.Sleep(50 * time.Millisecond) // until the bytes have arrived
+	c.CloseIdle()
+	n, err := conn.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 100)
+	c.CloseIdle()
+	_, err = conn.Read(make([]byte, 100))
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
