--- a/internal/leader/cell_load_test.go
+++ b/internal/leader/cell_load_test.go
@@ -51,6 +51,7 @@
 	effectTime time.Duration
 	far        float64 // how many times as long a task takes away from its rack or its gang
 	waits      bool    // the leader knows that
+	blind      bool    // workers report no progress
 }
 
 // cellResult is what became of the jobs of a queue.
@@ -429,6 +430,9 @@
 		if !t.began.IsZero() {
 			percent = int(100 * c.now.Sub(t.began) / t.at.Sub(t.began))
 		}
+		if c.blind {
+			percent = 0
+		}
 		report.Running = append(report.Running, leader.RunStatus{Task: t.Task, Number: t.Run, Percent: percent})
 	}
 	c.apply(leader.Reported{Worker: id, Report: report, Sent: c.now})
--- a/internal/leader/near_load_test.go
+++ b/internal/leader/near_load_test.go
@@ -81,6 +81,7 @@
 	stretch float64
 	slo     time.Duration
 	gangs   float64 // fraction of the jobs that are gangs, which want one rack
+	blind   bool    // workers report no progress
 	mixed   bool    // both ways must be worse than waiting as it pays
 }
 
@@ -108,7 +109,7 @@
 		}
 	}
 	queue := queueLoad{name: "near", priority: 1, perSecond: n.perSec, steps: 1, width: 8, size: ledger.Resources{CPU: 16_000, Memory: 1}, run: time.Second, stretch: n.stretch, objective: n.slo, shape: shape}
-	c := newSimulatedCell(seed, cellLoad{workers: 60, far: farRun, waits: policy == asItPays, queues: []queueLoad{queue}})
+	c := newSimulatedCell(seed, cellLoad{workers: 60, far: farRun, waits: policy == asItPays, blind: n.blind, queues: []queueLoad{queue}})
 	c.countFrom, c.countUntil = 2*time.Second, 14*time.Second
 	c.run(20 * time.Second)
 	r := c.results["near"]
@@ -157,6 +158,19 @@
 	}
 }
 
+// Load patterns: racks that are wanted evenly or by most, at workers that report no progress.
+func TestWaitsForARackPayWithoutReports(t *testing.T) {
+	for _, n := range []nearLoad{
+		{name: "one rack nearly full, without progress", perSec: 16, wanting: 0.7, hot: 0.9, stretch: 2.2, blind: true},
+		{name: "heavy, even, without progress", perSec: 25, wanting: 0.7, stretch: 1.5, blind: true},
+	} {
+		t.Run(n.name, func(t *testing.T) {
+			near, far, pays := n.mean(t, alwaysNear), n.mean(t, alwaysFar), n.mean(t, asItPays)
+			assert.Assert(t, float64(pays) <= 1.05*float64(min(near, far)), "%v, against %v near and %v far", pays, near, far)
+		})
+	}
+}
+
 // Load patterns: gangs that want one rack, beside jobs that fill the cell more or less, with
 // estimates that are off by up to 90%. Guards against waits that gangs pay for.
 func TestWaitsOfGangsPay(t *testing.T) {
