--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -142,6 +142,9 @@
 	if n.Batch != 0 {
 		fields["batch"] = n.Batch
 	}
+	if n.Attempts != 0 {
+		fields["failures"], fields["attempts"] = n.Failures, n.Attempts
+	}
 	if n.Stages.Known {
 		fields["recordms"], fields["orderms"], fields["runms"] = n.Stages.Record.Milliseconds(), n.Stages.Order.Milliseconds(), n.Stages.Run.Milliseconds()
 	}
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -105,6 +105,8 @@
 	Why    string
 	Batch  int64
 	Stages RunStages // of a run that has ended
+
+	Failures, Attempts int // of a task or a gang whose run has failed
 }
 
 // RunStages is how long the stages of a run have taken.
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -358,6 +358,7 @@
 			fails += member.Failures
 		}
 	}
+	t.emit(Decision{What: "fail", Job: id.Job, Task: id.String(), Run: task.Run, Worker: task.Worker, Failures: fails, Attempts: attempts})
 	if fails >= attempts && !job.Progress.State.Final() {
 		t.finishJob(job, ledger.Failed, "task "+id.String()+" has failed too often")
 		return
