--- /dev/null
+++ b/internal/leader/gang_failures_test.go
@@ -0,0 +1,177 @@
+package leader_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/endivelock/endivelock/internal/leader"
+	"github.com/endivelock/endivelock/internal/ledger"
+)
+
+// gangOf submits a job of one gang, a member of which runs at each worker, and returns the harness.
+func gangOf(t *testing.T, members, attempts int) *harness {
+	t.Helper()
+	h := newHarness(t, members, ledger.Resources{CPU: 1000, Memory: 8000})
+	h.submit("j", ledger.Queue{Attempts: attempts}, gangStep(members))
+	assert.Equal(t, len(h.running), members)
+	return h
+}
+
+// endGang has the run of each member end at its worker, in order: those that fail first.
+func (h *harness) endGang(run int, failing ...int) {
+	h.t.Helper()
+	ends := map[int]leader.EndKind{}
+	var order []int
+	for _, i := range failing {
+		ends[i], order = leader.EndFailed, append(order, i)
+	}
+	for i := range len(h.running) {
+		if ends[i] == "" {
+			ends[i], order = leader.EndGangBroken, append(order, i)
+		}
+	}
+	workers := map[int]string{}
+	for i := range order {
+		workers[i] = h.running[h.member(i)]
+	}
+	for _, i := range order {
+		task := h.member(i)
+		delete(h.running, task)
+		h.ended[workers[i]]++
+		h.report(workers[i], leader.RunEnd{Number: h.ended[workers[i]], Task: task, Run: run, Kind: ends[i]})
+	}
+}
+
+func (h *harness) member(i int) string {
+	return ledger.TaskID{Job: "j", Index: i}.String()
+}
+
+// lastFailures returns how many failed runs the leader has counted for the job's gang.
+func (h *harness) lastFailures() int {
+	failures := 0
+	for _, d := range h.decisions {
+		if d.What == "fail" {
+			failures = d.Failures
+		}
+	}
+	return failures
+}
+
+// Guards against an accepted job shown as failed with attempts left (LOST): several members
+// of one run of its gang end as failed.
+func TestARunOfAGangCountsAsOneFailureHoweverManyMembersFail(t *testing.T) {
+	for members := 2; members <= 4; members++ {
+		for failing := 1; failing <= members; failing++ {
+			t.Run(fmt.Sprintf("%d of %d", failing, members), func(t *testing.T) {
+				const attempts = 3
+				h := gangOf(t, members, attempts)
+				for run := 1; run < attempts; run++ {
+					var failed []int
+					for i := range failing {
+						failed = append(failed, (run+i)%members)
+					}
+					h.endGang(run, failed...)
+					assert.Equal(t, h.lastFailures(), run)
+					assert.Assert(t, !h.records["j"].State.Final(), "the job is %s after %d failed runs", h.records["j"].State, run)
+					assert.Equal(t, len(h.running), members, "the gang runs again")
+				}
+				h.endGang(attempts, 0)
+				assert.Equal(t, h.records["j"].State, ledger.Failed)
+			})
+		}
+	}
+}
+
+// Guards against the same over drawn orders of ends, reports that are lost or repeated, lost
+// callers of workers, workers that restart, and leaders that follow each other between two ends
+// of one run: the simulation checks each record and each start.
+func TestRunsOfAGangCountOnceInAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sm := newSimulation(t, 4, 0)
+		step := gangStep(rapid.IntRange(2, 4).Draw(t, "members"))
+		step.MaxPerWorker = rapid.IntRange(0, 1).Draw(t, "most at a worker")
+		j := ledger.Job{ID: "j", Accepted: sm.now, Queue: ledger.Queue{Service: "s", Attempts: rapid.IntRange(2, 4).Draw(t, "attempts")}, Steps: []ledger.Step{step}}
+		sm.jobs["j"] = j
+		sm.pollAll()
+		sm.apply(leader.Accepted{Job: j})
+		for range rapid.IntRange(1, 6).Draw(t, "runs") {
+			if !sm.startGang() {
+				break
+			}
+			sm.breakGang(t)
+			sm.hearOfEnds(t)
+		}
+		settle(sm)
+		assert.Assert(t, sm.log["j"].State.Final(), "the job is %s after %d failed runs of %d", sm.log["j"].State, len(sm.failedRuns["j.0.0.-1"]), j.Queue.Attempts)
+	})
+}
+
+// startGang lets time pass until all members of the only job run. It reports false if the job has
+// ended.
+func (sm *simulation) startGang() bool {
+	for range 300 {
+		sm.commit(1000)
+		for len(sm.orders) > 0 {
+			sm.deliver(0, true)
+		}
+		if sm.log["j"].State.Final() {
+			return false
+		}
+		running := 0
+		for _, w := range sm.workers {
+			running += len(w.running)
+		}
+		if running == sm.jobs["j"].Steps[0].Count {
+			return true
+		}
+		sm.pollAll()
+		sm.advance(100 * time.Millisecond)
+	}
+	sm.t.Fatalf("the gang does not run, the job is %s after failed runs %v", sm.log["j"].State, sm.failedRuns)
+	return false
+}
+
+// breakGang ends the run of the gang: some of its members fail, or a worker restarts.
+func (sm *simulation) breakGang(t *rapid.T) {
+	var at []string
+	for _, id := range sm.workerIDs() {
+		if len(sm.workers[id].running) > 0 {
+			at = append(at, id)
+		}
+	}
+	first := rapid.SampledFrom(at).Draw(t, "first")
+	target := sm.workers[first]
+	key := rapid.SampledFrom(sortedKeys(target.running)).Draw(t, "member")
+	sm.failTogether = func() bool { return rapid.Bool().Draw(t, "fails as well") }
+	if rapid.IntRange(0, 3).Draw(t, "how") > 0 {
+		sm.endRun(target, key, leader.EndFailed)
+		return
+	}
+	sm.endRun(target, key, leader.EndGangBroken)
+	sm.restart(first)
+}
+
+// hearOfEnds has the leader and those that follow it hear of the ends at all workers.
+func (sm *simulation) hearOfEnds(t *rapid.T) {
+	ids := rapid.Permutation(sm.workerIDs()).Draw(t, "order")
+	for _, id := range append(ids, rapid.SliceOfN(rapid.SampledFrom(ids), 0, 4).Draw(t, "again")...) {
+		sm.partial = rapid.Bool().Draw(t, "partial")
+		sm.poll(id, rapid.IntRange(0, 5).Draw(t, "lost") > 0)
+		sm.partial = false
+		if rapid.Bool().Draw(t, "commit") {
+			sm.commit(rapid.IntRange(1, 3).Draw(t, "batches"))
+		}
+		switch rapid.IntRange(0, 7).Draw(t, "event") {
+		case 0:
+			sm.takeover()
+		case 1:
+			sm.handover()
+		case 2:
+			sm.losePoller(id)
+		}
+	}
+}
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -71,6 +71,7 @@
 func injectFaults(t *rapid.T, sm *simulation) {
 	pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "which") }
 	worker := func() string { return sm.workerIDs()[pick(len(sm.workerIDs()))] }
+	sm.failTogether = func() bool { return pick(2) == 0 }
 	t.Repeat(map[string]func(*rapid.T){
 		"accept": func(t *rapid.T) {
 			if len(sm.jobs) < 12 {
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -51,9 +52,13 @@
 	w.ends = append(w.ends, leader.RunEnd{Number: w.lastEnd, Task: r.task.String(), Run: r.number, Kind: how})
 }
 
-// endRun ends a run with the given outcome. The members of a gang end together.
+// endRun ends a run with the given outcome. The members of a gang end together; when one fails,
+// others may fail as well.
 func (sm *simulation) endRun(target *simWorker, key string, how leader.EndKind) {
 	r := target.running[key]
+	if how == leader.EndFailed {
+		sm.failedRuns.add(sm.unit(r.task), r.number)
+	}
 	if !sm.jobs[r.task.Job].Steps[r.task.Step].Gang {
 		sm.endedDone[r.task.String()] = how == leader.EndDone
 		target.end(key, how)
@@ -76,7 +81,7 @@
 	}
 	for _, m := range members {
 		switch {
-		case how == leader.EndDone || m.at == target && m.key == key:
+		case how == leader.EndDone || m.at == target && m.key == key || how == leader.EndFailed && sm.failTogether():
 			sm.endedDone[m.at.running[m.key].task.String()] = how == leader.EndDone
 			m.at.end(m.key, how)
 		default:
@@ -117,7 +122,9 @@
 	workers        map[string]*simWorker
 	endedDone      map[string]bool // tasks with a run that ended as done
 	doneForgotten  map[string]bool // tasks whose end as done was acknowledged and forgotten by the worker
-	failsForgotten map[string]int  // acknowledged and forgotten ends as failed, by task
+	failedRuns     runSets         // runs that ended as failed
+	failsForgotten runSets         // those of them with an end that was acknowledged and forgotten by the worker
+	failTogether   func() bool     // whether another member of a gang fails with the first
 	starts         int
 	caps           simCaps
 	pause          time.Duration // between placement passes
@@ -151,8 +158,8 @@
 func newSimulation(t *rapid.T, count int, pause time.Duration) *simulation {
 	sm := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), log: map[ledger.ID]ledger.Progress{}, jobs: map[ledger.ID]ledger.Job{},
-		cancels: map[ledger.ID]bool{}, workers: map[string]*simWorker{}, endedDone: map[string]bool{}, doneForgotten: map[string]bool{}, failsForgotten: map[string]int{},
-		pause: pause,
+		cancels: map[ledger.ID]bool{}, workers: map[string]*simWorker{}, endedDone: map[string]bool{}, doneForgotten: map[string]bool{}, failedRuns: runSets{}, failsForgotten: runSets{},
+		failTogether: func() bool { return false }, pause: pause,
 	}
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
@@ -266,6 +273,7 @@
 	for _, effect := range effects {
 		switch f := effect.(type) {
 		case leader.Record:
+			sm.checkFailed(f)
 			sm.records = append(sm.records, f)
 		case leader.RecordLeases:
 			sm.leases = append(sm.leases, f)
@@ -370,6 +378,38 @@
 	return sm.jobs[id.Job].Steps[id.Step].Reservation()
 }
 
+// runSets are sets of run numbers, by task or gang.
+type runSets map[string]map[int]bool
+
+func (s runSets) add(unit string, run int) {
+	if s[unit] == nil {
+		s[unit] = map[int]bool{}
+	}
+	s[unit][run] = true
+}
+
+// unit names what the attempts of a task's job are counted for: the task, or its gang.
+func (sm *simulation) unit(id ledger.TaskID) string {
+	if sm.jobs[id.Job].Steps[id.Step].Gang {
+		id.Index = -1
+	}
+	return id.String()
+}
+
+// checkFailed fails the test if a job fails although each of its tasks and gangs has attempts
+// left.
+func (sm *simulation) checkFailed(r leader.Record) {
+	if r.Progress.State != ledger.Failed {
+		return
+	}
+	for unit, runs := range sm.failedRuns {
+		if strings.HasPrefix(unit, string(r.Job)+".") && len(runs) >= sm.jobs[r.Job].Queue.Attempts {
+			return
+		}
+	}
+	sm.t.Fatalf("job %s failed with attempts left: %v", r.Job, sm.failedRuns)
+}
+
 // check fails the test if a start breaks a rule: it must fit, no other run of
 // the task may be executing, the task must not be done or have failed too often, and
 // the steps before it must be done.
@@ -390,8 +430,8 @@
 	if sm.doneForgotten[task] && !job.Steps[o.Task.Step].LongRunning {
 		sm.t.Fatalf("start of %s run %d after its end as done was taken note of", task, o.Run)
 	}
-	if sm.failsForgotten[task] >= job.Queue.Attempts && !job.Steps[o.Task.Step].LongRunning {
-		sm.t.Fatalf("start of %s run %d after %d failed runs", task, o.Run, sm.failsForgotten[task])
+	if n := len(sm.failsForgotten[sm.unit(o.Task)]); n >= job.Queue.Attempts && !job.Steps[o.Task.Step].LongRunning {
+		sm.t.Fatalf("start of %s run %d after %d failed runs", task, o.Run, n)
 	}
 	for _, before := range job.Steps[o.Task.Step].After {
 		for index := range job.Steps[before].Count {
@@ -461,7 +501,11 @@
 		case leader.EndDone:
 			sm.doneForgotten[e.Task] = true
 		case leader.EndFailed:
-			sm.failsForgotten[e.Task]++
+			id, err := ledger.ParseTaskID(e.Task)
+			if err != nil {
+				sm.t.Fatal(err)
+			}
+			sm.failsForgotten.add(sm.unit(id), e.Run)
 		}
 		target.ends = target.ends[1:]
 	}
