--- a/internal/encoder/progress.go
+++ b/internal/encoder/progress.go
@@ -77,6 +77,9 @@
 			b = strconv.AppendInt(b, int64(n.value), 10)
 		}
 	}
+	if t.Failed {
+		name(`"x":true`)
+	}
 	if t.Worker != "" && t.Phase != ledger.Done {
 		name(`"w":`)
 		b = quoter.Append(b, t.Worker)
--- a/internal/encoder/progress_test.go
+++ b/internal/encoder/progress_test.go
@@ -16,6 +16,7 @@
 	task := rapid.Custom(func(t *rapid.T) ledger.Task {
 		return ledger.Task{
 			Phase: ledger.Phase(rapid.IntRange(0, 2).Draw(t, "phase")), Run: rapid.IntRange(0, 30).Draw(t, "run"), Failures: rapid.IntRange(0, 3).Draw(t, "failures"),
+			Failed: rapid.Bool().Draw(t, "failed"),
 			Worker: rapid.SampledFrom([]string{"", "i-5f519ce5f9", `odd "name"`}).Draw(t, "worker"), Checkpoint: rapid.SampledFrom([]string{"", "0000a1"}).Draw(t, "checkpoint"),
 		}
 	})
@@ -92,6 +93,18 @@
 	assert.Assert(t, len(v.Name)+len(v.Data) < maxRecordBytes, "%d bytes", len(v.Data))
 }
 
+// The same for a gang whose tasks have all failed at once.
+func TestTheProgressOfTheLargestGangFitsIntoARecord(t *testing.T) {
+	tasks := make([]ledger.Task, ledger.MaxTasks)
+	for i := range tasks {
+		tasks[i] = ledger.Task{Run: 12, Failed: true, Worker: "i-5f519ce5f95f519ce5", Checkpoint: "0123456789abcdef"}
+	}
+	tasks[0].Failures = 12
+	p := ledger.Progress{State: ledger.Running, Rounds: []ledger.Round{{Tasks: [][]ledger.Task{tasks}}}}
+	v := encoder.Progress("0123456789abcdef", p)
+	assert.Assert(t, len(v.Name)+len(v.Data) < maxRecordBytes, "%d bytes", len(v.Data))
+}
+
 // The same for scheduled jobs, with as many occurrences in progress as a job may have.
 func TestTheProgressOfOverlappingOccurrencesFitsIntoARecord(t *testing.T) {
 	for _, shape := range []struct{ tasks, steps, rounds int }{{1000, 1, 9}, {1000, 1, ledger.MaxRounds}, {1, 1, ledger.MaxRounds}, {1, ledger.MaxSteps, 1000}, {20, 50, 500}, {ledger.MaxTasks, 1, 10}} {
--- a/internal/leader/gang_failures_test.go
+++ b/internal/leader/gang_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,26 +25,23 @@
 // endGang has the run of each member end at its worker, in order: those that fail first.
 func (h *harness) endGang(run int, failing ...int) {
 	h.t.Helper()
-	ends := map[int]leader.EndKind{}
-	var order []int
 	for _, i := range failing {
-		ends[i], order = leader.EndFailed, append(order, i)
+		h.endMember(i, run, leader.EndFailed)
 	}
-	for i := range len(h.running) {
-		if ends[i] == "" {
-			ends[i], order = leader.EndGangBroken, append(order, i)
+	for i := range h.records["j"].Step(0, 0) {
+		if !slices.Contains(failing, i) {
+			h.endMember(i, run, leader.EndGangBroken)
 		}
 	}
-	workers := map[int]string{}
-	for i := range order {
-		workers[i] = h.running[h.member(i)]
-	}
-	for _, i := range order {
-		task := h.member(i)
-		delete(h.running, task)
-		h.ended[workers[i]]++
-		h.report(workers[i], leader.RunEnd{Number: h.ended[workers[i]], Task: task, Run: run, Kind: ends[i]})
-	}
+}
+
+// endMember has the run of a member end at its worker.
+func (h *harness) endMember(i, run int, how leader.EndKind) {
+	task := h.member(i)
+	worker := h.running[task]
+	delete(h.running, task)
+	h.ended[worker]++
+	h.report(worker, leader.RunEnd{Number: h.ended[worker], Task: task, Run: run, Kind: how})
 }
 
 func (h *harness) member(i int) string {
@@ -175,3 +173,54 @@
 		}
 	}
 }
+
+// inherit has a leader take over a job of one gang of which an earlier version has recorded
+// the tasks.
+func inherit(t *testing.T, attempts int, tasks ...ledger.Task) *harness {
+	t.Helper()
+	h := newHarness(t, len(tasks), ledger.Resources{CPU: 1000, Memory: 8000})
+	for i, task := range tasks {
+		if task.Phase == ledger.Started {
+			h.running[h.member(i)] = task.Worker
+			h.report(task.Worker)
+		}
+	}
+	j := ledger.Job{ID: "j", Accepted: h.now, Queue: ledger.Queue{Service: "s", Attempts: attempts}, Steps: []ledger.Step{gangStep(len(tasks))}}
+	h.apply(leader.Accepted{Job: j, Progress: &ledger.Progress{State: ledger.Running, Began: true, Rounds: []ledger.Round{{Tasks: [][]ledger.Task{tasks}}}}})
+	return h
+}
+
+// Guards against the same after an update: earlier versions counted a run once for each member
+// that failed, and did not record which members failed last.
+func TestFailuresOfAGangRecordedByAnEarlierVersion(t *testing.T) {
+	t.Run("one run", func(t *testing.T) {
+		h := inherit(t, 3, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1})
+		h.endGang(2, 0, 2)
+		assert.Equal(t, h.lastFailures(), 2)
+		h.endGang(3, 1)
+		assert.Equal(t, h.records["j"].State, ledger.Failed)
+	})
+	t.Run("amid a run", func(t *testing.T) {
+		h := inherit(t, 2, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Phase: ledger.Started, Run: 1, Worker: "w01"}, ledger.Task{Phase: ledger.Started, Run: 1, Worker: "w02"})
+		h.endMember(1, 1, leader.EndFailed)
+		h.endMember(2, 1, leader.EndFailed)
+		assert.Equal(t, h.lastFailures(), 1)
+		assert.Equal(t, len(h.running), 3, "the gang runs again")
+		h.endGang(2, 2)
+		assert.Equal(t, h.records["j"].State, ledger.Failed)
+	})
+}
+
+// Guards against the same if a leader of an earlier version takes over: it sums up what is
+// recorded for the members.
+func TestRecordedFailuresOfAGangAddUpToItsFailedRuns(t *testing.T) {
+	h := gangOf(t, 3, 4)
+	for run := 1; run <= 3; run++ {
+		h.endGang(run, run%3, (run+1)%3)
+		sum := 0
+		for _, task := range h.records["j"].Step(0, 0) {
+			sum += task.Failures
+		}
+		assert.Equal(t, sum, run)
+	}
+}
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -341,25 +341,18 @@
 	return true
 }
 
-// failTask counts a failed run of a task. The job fails once a task has failed as
-// often as its queue allows. The failures of a gang's members are summed.
+// failTask counts the failed run of a task. The job fails once a task or a gang has failed as
+// often as its queue allows.
 func (t *transition) failTask(job ActiveJob, id ledger.TaskID, task ledger.Task) {
-	task = task.WithFailure()
-	job = job.WithProgress(job.Progress.WithTask(id, task).WithBegan())
+	job = job.WithProgress(job.Progress.WithTask(id, task).WithFailure(job.Job, id).WithBegan())
 	t.setJob(job)
 	attempts := job.Job.Queue.Attempts
 	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
-	fails := task.Failures
-	if job.Job.Steps[id.Step].Gang {
-		fails = 0
-		for _, member := range job.Progress.Step(id.Round, id.Step) {
-			fails += member.Failures
-		}
-	}
-	t.emit(Decision{What: "fail", Job: id.Job, Task: id.String(), Run: task.Run, Worker: task.Worker, Failures: fails, Attempts: attempts})
-	if fails >= attempts && !job.Progress.State.Final() {
+	failures := job.Progress.Failures(job.Job, id)
+	t.emit(Decision{What: "fail", Job: id.Job, Task: id.String(), Run: task.Run, Worker: task.Worker, Failures: failures, Attempts: attempts})
+	if failures >= attempts && !job.Progress.State.Final() {
 		t.finishJob(job, ledger.Failed, "task "+id.String()+" has failed too often")
 		return
 	}
--- a/internal/leader/near.go
+++ b/internal/leader/near.go
@@ -195,7 +195,7 @@
 
 // holds reports whether a task waits, once it is known that its rack has no room left.
 func (n *nearStep) holds(task ledger.Task) bool {
-	if !n.decided || n.held >= n.most || task.Failures > 0 {
+	if !n.decided || n.held >= n.most || task.HasFailed() {
 		return false
 	}
 	n.held++
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -286,7 +286,7 @@
 		d.Rack = rack
 	}
 	for _, careful := range []bool{true, false} {
-		if careful && task.Failures == 0 {
+		if careful && !task.HasFailed() {
 			continue
 		}
 		if i := p.choose(d, eligible, func(c *placer.Candidate) bool {
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -34,14 +34,15 @@
 type Task struct {
 	Phase      Phase  `json:"p,omitempty"`
 	Run        int    `json:"r,omitempty"` // number of the last run, from 1
-	Failures   int    `json:"f,omitempty"` // number of failed runs
+	Failures   int    `json:"f,omitempty"` // number of failed runs; those of a gang are counted at one of its tasks each
+	Failed     bool   `json:"x,omitempty"` // the last run has failed; set for tasks of gangs only
 	Worker     string `json:"w,omitempty"` // worker of the last run
 	Checkpoint string `json:"s,omitempty"` // last known checkpoint
 }
 
 // WithRun returns the task with its next run started at a worker.
 func (t Task) WithRun(run int, worker string) Task {
-	t.Phase, t.Run, t.Worker = Started, run, worker
+	t.Phase, t.Run, t.Worker, t.Failed = Started, run, worker, false
 	return t
 }
 
@@ -51,12 +52,8 @@
 	return t
 }
 
-// WithFailure returns the task with one more failed run.
-func (t Task) WithFailure() Task {
-	t.Phase = Idle
-	t.Failures++
-	return t
-}
+// HasFailed reports whether a run of the task is known to have failed.
+func (t Task) HasFailed() bool { return t.Failures > 0 || t.Failed }
 
 // WithCheckpoint returns the task with a checkpoint. An empty checkpoint is ignored.
 func (t Task) WithCheckpoint(saved string) Task {
@@ -169,6 +166,45 @@
 	return p
 }
 
+// WithFailure returns the progress after the current run of a task has failed. A run of a gang
+// fails once, however many of its tasks do.
+func (p Progress) WithFailure(j Job, id TaskID) Progress {
+	t := p.Task(id.Round, id.Step, id.Index)
+	t.Phase = Idle
+	if !j.Steps[id.Step].Gang {
+		t.Failures++
+		return p.WithTask(id, t)
+	}
+	if !p.gangHasFailed(id, t.Run) && p.Failures(j, id) < t.Run {
+		t.Failures++
+	}
+	t.Failed = true
+	return p.WithTask(id, t)
+}
+
+// gangHasFailed reports whether a run of a task's gang is counted as failed.
+func (p Progress) gangHasFailed(id TaskID, run int) bool {
+	for _, t := range p.Step(id.Round, id.Step) {
+		if t.Failed && t.Run == run {
+			return true
+		}
+	}
+	return false
+}
+
+// Failures returns the number of failed runs of a task, or of its gang.
+func (p Progress) Failures(j Job, id TaskID) int {
+	t := p.Task(id.Round, id.Step, id.Index)
+	if !j.Steps[id.Step].Gang {
+		return t.Failures
+	}
+	failures := 0
+	for _, member := range p.Step(id.Round, id.Step) {
+		failures += member.Failures
+	}
+	return min(failures, t.Run) // earlier versions counted a run for each task that failed
+}
+
 // WithRoundDone returns the progress with a round done and its tasks dropped.
 func (p Progress) WithRoundDone(round int) Progress {
 	p.Rounds = slices.Clone(p.Rounds)
