--- a/internal/commands/admitter/admitter.go
+++ b/internal/commands/admitter/admitter.go
@@ -299,6 +299,22 @@
 	}
 }
 
+// observePlaced counts a request that was placed after a wait. A placement that
+// sent nothing is followed by another decision and does not count.
+func (f *inflight) observePlaced(waited time.Duration) {
+	f.admitter.PlacementWait.Update(waited)
+	f.observe(waited, true)
+}
+
+// observeRefused counts a refused request, unless the entry that forwarded it
+// decides about it again.
+func (f *inflight) observeRefused(status int) {
+	if f.admitter.Trusted && retryableElsewhere(status) {
+		return
+	}
+	f.observe(time.Since(f.arrived), false)
+}
+
 func (f *inflight) count(name string) {
 	metrics.GetOrRegisterCounter(name, f.admitter.Counters).Inc(1)
 }
--- a/internal/commands/admitter/admitter_test.go
+++ b/internal/commands/admitter/admitter_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivelock/endivelock/internal/commands/admitter"
@@ -55,6 +57,7 @@
 // request on.
 type proxy struct {
 	controller *fakeController
+	admitter   *admitter.Admitter
 	entry      *httptest.Server
 }
 
@@ -67,9 +70,11 @@
 	}}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	entry := httptest.NewServer(admitter.New(d, admitter.Transports{Servers: dispatcher.New(dispatcher.MaxServerConns)}, &d.Waiters, logger))
+	transports := admitter.Transports{Servers: dispatcher.New(dispatcher.MaxServerConns), Entries: dispatcher.New(dispatcher.MaxEntryConns)}
+	a := admitter.New(d, transports, &d.Waiters, logger)
+	entry := httptest.NewServer(a)
 	t.Cleanup(entry.Close)
-	return &proxy{controller: d, entry: entry}
+	return &proxy{controller: d, admitter: a, entry: entry}
 }
 
 func (p *proxy) request(t *testing.T, method, body string, header ...string) *http.Request {
@@ -261,3 +266,74 @@
 		assert.Equal(t, response.Header.Get("Retry-After"), "2", string(reason))
 	}
 }
+
+// observer counts requests that were placed and that were not.
+type observer struct{ good, bad atomic.Int64 }
+
+func (o *observer) Observe(_ time.Duration, good bool) {
+	if good {
+		o.good.Add(1)
+		return
+	}
+	o.bad.Add(1)
+}
+
+// One unreachable server made a request count towards the objective once for each attempt.
+func TestARequestThatIsPlacedAgainCountsOnce(t *testing.T) {
+	p := newProxy(t, func(http.ResponseWriter, *http.Request) {})
+	var seen observer
+	p.admitter.Observer = &seen
+	away := httptest.NewServer(http.NotFoundHandler())
+	away.Close()
+	place := p.controller.decide
+	p.controller.decide = func(id string) scheduler.Effect {
+		return scheduler.Place{Request: id, Server: "away", Address: away.Listener.Addr().String(), Until: time.Now().Add(time.Minute)}
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for range 3 {
+			ended := (<-p.controller.events).(scheduler.RequestEnded)
+			p.controller.Decide(ended.Request, p.controller.decide(ended.Request))
+		}
+		ended := (<-p.controller.events).(scheduler.RequestEnded)
+		p.controller.Decide(ended.Request, place(ended.Request))
+		return nil
+	})
+	response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, ""))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, group.Wait())
+	assert.Equal(t, seen.good.Load(), int64(1))
+	assert.Equal(t, seen.bad.Load(), int64(0))
+	assert.Equal(t, p.admitter.PlacementWait.Count(), int64(1))
+}
+
+// A request that another entry refused and this one placed counted as a good and a bad one.
+func TestARequestThatAnotherEntryRefusesCountsOnce(t *testing.T) {
+	var seen observer
+	other := newProxy(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was reached") })
+	other.admitter.Trusted, other.admitter.Observer = true, &seen
+	other.controller.decide = func(id string) scheduler.Effect {
+		return scheduler.Refuse{Request: id, Reason: scheduler.ReasonNoFreeSlot}
+	}
+	p := newProxy(t, func(http.ResponseWriter, *http.Request) {})
+	p.admitter.Observer = &seen
+	place := p.controller.decide
+	p.controller.decide = func(id string) scheduler.Effect {
+		return scheduler.Forward{Request: id, Entry: scheduler.Entry{ID: scheduler.EntryID{Name: "b"}, Forward: other.entry.Listener.Addr().String()}}
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		ended := (<-p.controller.events).(scheduler.ForwardEnded)
+		p.controller.Decide(ended.Request, place(ended.Request))
+		return nil
+	})
+	response, err := http.DefaultClient.Do(p.request(t, http.MethodGet, ""))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, group.Wait())
+	assert.Equal(t, seen.good.Load(), int64(1))
+	assert.Equal(t, seen.bad.Load(), int64(0))
+}
--- a/internal/commands/admitter/exchange.go
+++ b/internal/commands/admitter/exchange.go
@@ -35,18 +35,17 @@
 		return true
 	}
 	waited := time.Since(f.arrived)
-	f.admitter.PlacementWait.Update(waited)
-	f.observe(waited, true)
 	f.w.Header().Set(headerTiming, formatTiming(waited))
 	ctx, cancel := exchangeContext(d.Until)
 	results := f.send(f.outgoing(ctx, d.Address))
 	select {
 	case r := <-results:
-		return f.relayFromServer(r, cancel)
+		return f.relayFromServer(r, waited, cancel)
 	case <-f.r.Context().Done():
 	case <-time.After(time.Until(f.request.Deadline)):
 		f.writeProblem(*f.problem(http.StatusGatewayTimeout, "answer-timeout", "no answer before the deadline"), 0)
 	}
+	f.observePlaced(waited)
 	f.finishDetached(results, cancel)
 	return true
 }
@@ -95,11 +94,12 @@
 // relayFromServer copies a server's response to the caller. It reports whether
 // the request is completed. If the copying fails it aborts the caller's
 // connection, so that a truncated response is not taken for a complete one.
-func (f *inflight) relayFromServer(r result, cancel context.CancelFunc) bool {
+func (f *inflight) relayFromServer(r result, waited time.Duration, cancel context.CancelFunc) bool {
 	if r.err != nil {
 		cancel()
-		return f.serverFailed(r.err)
+		return f.serverFailed(r.err, waited)
 	}
+	f.observePlaced(waited)
 	err := f.copyResponse(r.response)
 	if err == nil {
 		cancel()
@@ -125,12 +125,14 @@
 
 // serverFailed handles an exchange without a response. It reports whether the
 // request is completed; if not, another decision follows.
-func (f *inflight) serverFailed(err error) bool {
+func (f *inflight) serverFailed(err error, waited time.Duration) bool {
 	end := endKindOf(err, f.body.read.Load() > 0)
 	f.reportEnded(end)
-	switch end {
-	case scheduler.ExchangeUnsent:
+	if end == scheduler.ExchangeUnsent {
 		return false
+	}
+	f.observePlaced(waited)
+	switch end {
 	case scheduler.ExchangeUnused:
 		f.writeProblem(*f.refusal(scheduler.ReasonServerUnreachable), time.Second)
 	default:
@@ -155,9 +157,12 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	refused := response.Header.Get(messenger.HeaderOutcome) == scheduler.NotRun.String()
-	if refused && f.body.read.Load() == 0 && retryableElsewhere(response) {
-		f.reportForwardEnded(d.Entry.ID, true)
-		return false
+	if refused && retryableElsewhere(response.StatusCode) {
+		if f.body.read.Load() == 0 {
+			f.reportForwardEnded(d.Entry.ID, true)
+			return false
+		}
+		f.observeRefused(response.StatusCode)
 	}
 	f.reportForwardEnded(d.Entry.ID, false)
 	f.w.Header().Set(headerTiming, formatTiming(ownWait+parseTiming(response.Header)))
@@ -170,9 +175,9 @@
 }
 
 // retryableElsewhere reports whether another entry might accept a request that
-// got this refusal.
-func retryableElsewhere(response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusConflict
+// was refused with a status.
+func retryableElsewhere(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusConflict
 }
 
 func (f *inflight) forwardFailed(err error, to scheduler.EntryID) bool {
--- a/internal/commands/admitter/refusal.go
+++ b/internal/commands/admitter/refusal.go
@@ -14,7 +14,7 @@
 // refuse responds that the request was refused and not run.
 func (f *inflight) refuse(d scheduler.Refuse) {
 	f.count("refused." + string(d.Reason))
-	f.observe(time.Since(f.arrived), false)
+	f.observeRefused(statusOf(d.Reason))
 	f.writeProblem(*f.refusal(d.Reason), d.RetryAfter)
 }
 
