--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -63,13 +63,18 @@
 			s.flush()
 			return ctx.Err()
 		}
-		if n := s.dropped.Load(); n > reported && len(s.queue) == 0 {
-			s.write([]byte(fmt.Sprintf("{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n-reported)))
+		if n := s.dropped.Load(); n > reported && len(s.queue) == 0 && s.report(n-reported) {
 			reported = n
 		}
 	}
 }
 
+// report writes how many lines were dropped and reports whether the output took that.
+func (s *Spooler) report(lines int64) bool {
+	_, err := fmt.Fprintf(s.output, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", lines)
+	return err == nil
+}
+
 func (s *Spooler) flush() {
 	for {
 		select {
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/endivelock/endivelock/internal/formatter"
 	"github.com/endivelock/endivelock/internal/spooler"
@@ -89,3 +92,59 @@
 	cancel()
 	_ = group.Wait()
 }
+
+// failing is an output that takes lines only once it has been mended.
+type failing struct {
+	mu     sync.Mutex
+	text   strings.Builder
+	mended bool
+}
+
+func (o *failing) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.mended {
+		return 0, io.ErrShortWrite
+	}
+	return o.text.Write(p)
+}
+
+func (o *failing) mend() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.mended = true
+}
+
+func (o *failing) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// The line about dropped lines was itself counted as dropped, and what it said was lost.
+func TestLinesThatFailAreReportedOnceTheOutputTakesLines(t *testing.T) {
+	o := &failing{}
+	s := spooler.New(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(ctx) })
+	write := func(taken func() bool) {
+		_, err := s.Write([]byte("line\n"))
+		assert.NilError(t, err)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if taken() {
+				return poll.Success()
+			}
+			return poll.Continue("%d lines dropped, written %q", s.Dropped(), o)
+		})
+	}
+	write(func() bool { return s.Dropped() >= 1 })
+	write(func() bool { return s.Dropped() >= 2 })
+	o.mend()
+	write(func() bool { return strings.Contains(o.String(), "line\n") })
+	cancel()
+	assert.ErrorIs(t, group.Wait(), context.Canceled)
+	assert.Equal(t, s.Dropped(), int64(2))
+	assert.Assert(t, strings.Contains(o.String(), `"lines":2`), o.String())
+}
