--- a/internal/scheduler/rankings.go
+++ b/internal/scheduler/rankings.go
@@ -11,6 +11,9 @@
 	failureWeight = 1 << 40
 	lossWeight    = 1 << 30
 	busyScale     = 1 << 20
+	// maxRankedFailures is less than what a score has room for: each request that
+	// finds a server away counts.
+	maxRankedFailures = 1 << 20
 )
 
 func (t *step) setHold(resource string, h Hold) {
@@ -68,7 +71,7 @@
 	if v.Lost > 0 {
 		score += lossWeight
 	}
-	t.s.FreeServers = t.s.FreeServers.With(name, score+int64(v.Failures)*failureWeight)
+	t.s.FreeServers = t.s.FreeServers.With(name, score+min(int64(v.Failures), maxRankedFailures)*failureWeight)
 }
 
 // rankWorker ranks a worker whose ownership is recorded and that takes work by
--- a/internal/scheduler/requests_test.go
+++ b/internal/scheduler/requests_test.go
@@ -176,3 +176,22 @@
 	s = after(s, time.Hour, scheduler.Ticked{})
 	assert.Equal(t, s.FreeSlots(), 0)
 }
+
+// A server that no request could reach for a long time was ranked before all others once its
+// failures no longer fitted into the score.
+func TestAServerIsNeverPreferredForItsFailures(t *testing.T) {
+	for _, failures := range []int{0, 1 << 20, 1<<23 - 1, 1<<24 - 1, 1 << 40} {
+		s := after(ownerState(4), 0, scheduler.InstancesListed{Instances: []scheduler.Instance{
+			{Kind: scheduler.KindServer, Name: "s", Zone: "z", Address: "s:1", Slots: 4},
+			{Kind: scheduler.KindServer, Name: "t", Zone: "z", Address: "t:1", Slots: 4},
+		}})
+		s = after(s, 0, ledger(2, scheduler.ClaimRecord{Resource: "server/t", Owner: s.Self.ID, Acquire: true}))
+		s, places := effectsOf[scheduler.Place](s, 0, arrival("x"))
+		assert.Equal(t, places[0].Server, "s")
+		v, _ := s.Servers.Get("s")
+		s.Servers = s.Servers.With("s", v.WithFailures(failures))
+		_, places = effectsOf[scheduler.Place](s, 0, scheduler.RequestEnded{Request: "x", End: scheduler.ExchangeUnsent})
+		assert.Equal(t, len(places), 1)
+		assert.Equal(t, places[0].Server, "t", "after %d failures", failures+1)
+	}
+}
