--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -75,3 +75,9 @@
 	h.Ended = append(h.Ended[:len(h.Ended):len(h.Ended)], request)
 	return h
 }
+
+// carries reports whether a request was handed over that is not known to have ended.
+func (h Handover) carries(request string) bool {
+	carried := slices.ContainsFunc(h.Running, func(c CarriedRequest) bool { return c.Request == request })
+	return carried && !slices.Contains(h.Ended, request)
+}
--- a/internal/scheduler/ownership_test.go
+++ b/internal/scheduler/ownership_test.go
@@ -171,3 +171,22 @@
 	assert.Equal(t, len(late), 1)
 	assert.Equal(t, late[0].Request, "x")
 }
+
+// A slot stayed in use for a minute if its request ended while the server was being handed over
+// for a second time: neither of the two later owners took note of the end.
+func TestEndOfACarriedRequestFollowsASecondHandover(t *testing.T) {
+	s := successorState([]scheduler.EntryID{id("a")}, nil)
+	claim := scheduler.Claim{Owner: id("a"), Epoch: 5, Handovers: 1, Successors: []scheduler.EntryID{id("c")}}
+	carried := scheduler.CarriedRequest{Request: "x", From: id("b"), Until: startTime().Add(time.Minute)}
+	s = after(s, 0, scheduler.HandoverReceived{Resource: "server/s", Claim: claim, Running: []scheduler.CarriedRequest{carried}})
+	s, handovers := effectsOf[scheduler.SendHandover](s, time.Second, scheduler.DrainStarted{})
+	assert.Equal(t, len(handovers), 1)
+	assert.Equal(t, handovers[0].Running[0].Request, "x")
+	for range 2 { // also if the end is reported again
+		s = after(s, time.Second, scheduler.CarriedEnded{Server: "s", Request: "x"})
+	}
+	s = after(s, time.Second, scheduler.CarriedEnded{Server: "s", Request: "not handed over"})
+	_, late := effectsOf[scheduler.ReleaseSlot](s, time.Second, scheduler.HandoverConfirmed{Resource: "server/s", To: id("c")})
+	assert.Equal(t, len(late), 1)
+	assert.Equal(t, late[0].Request, "x")
+}
--- a/internal/scheduler/slots.go
+++ b/internal/scheduler/slots.go
@@ -22,6 +22,11 @@
 	if ok && r.Phase == PhaseCarried && r.Server == e.Server {
 		t.freeSlot(r)
 		t.dispatchQueue()
+		return
+	}
+	resource := ServerResource(e.Server)
+	if h, ok := t.s.Handovers.Get(resource); ok && h.carries(e.Request) {
+		t.s.Handovers = t.s.Handovers.With(resource, h.WithEnded(e.Request))
 	}
 }
 
