--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -98,13 +98,18 @@
 func listWorkers(t *testing.T, l *emulator.Log) {
 	t.Helper()
 	for _, name := range workerNames {
-		data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Capacity: ledger.Resources{CPU: 8000, Memory: 8000}, Incarnation: 1})
-		assert.NilError(t, err)
-		_, err = l.Append(context.Background(), replicator.Append{Stream: emulator.WorkersStream, Values: []replicator.Value{{Name: name, Data: data}}})
-		assert.NilError(t, err)
+		listWorker(t, l, name)
 	}
 }
 
+func listWorker(t *testing.T, l *emulator.Log, name string, labels ...string) {
+	t.Helper()
+	data, err := json.Marshal(leader.Listing{Address: "w", Service: "s", Capacity: ledger.Resources{CPU: 8000, Memory: 8000}, Incarnation: 1, Labels: labels})
+	assert.NilError(t, err)
+	_, err = l.Append(context.Background(), replicator.Append{Stream: emulator.WorkersStream, Values: []replicator.Value{{Name: name, Data: data}}})
+	assert.NilError(t, err)
+}
+
 func job(id ledger.ID) ledger.Job {
 	return ledger.Job{ID: id, Accepted: time.Now(), Queue: ledger.Queue{Service: "s", Attempts: 2}, Steps: []ledger.Step{
 		{Count: 6, Request: ledger.Resources{CPU: 1000}, Estimate: 200 * time.Millisecond},
--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -23,11 +23,22 @@
 	RunTime  time.Duration    // duration of every run
 	Capacity ledger.Resources // of each worker; not checked if Size is nil
 	Size     func(ledger.TaskID) ledger.Resources
+	// Members returns the size of the gang that a task belongs to, 0 for none. No task
+	// belongs to a gang if it is nil.
+	Members func(ledger.TaskID) int
+	// GangWait is how long a member of a gang waits for the others, without limit if it is 0.
+	GangWait time.Duration
+	// End decides how a run ends whose time is over, or that it goes on for now if it returns
+	// "". Members of a gang that would be done end as broken once another has ended otherwise.
+	// All runs are done if it is nil. It must not call the cell.
+	End func(task ledger.TaskID, run int) leader.EndKind
 
 	mu         sync.Mutex
 	workers    map[string]*workerState
+	gangs      map[string]*gangRun // by gangKey
 	violations []string
 	done       map[ledger.TaskID]bool
+	starts     map[ledger.TaskID]int
 }
 
 var (
@@ -50,7 +61,8 @@
 // holds c.mu.
 func (c *Cell) worker(name string) *workerState {
 	if c.workers == nil {
-		c.workers, c.done = map[string]*workerState{}, map[ledger.TaskID]bool{}
+		c.workers, c.gangs = map[string]*workerState{}, map[string]*gangRun{}
+		c.done, c.starts = map[ledger.TaskID]bool{}, map[ledger.TaskID]int{}
 	}
 	w, ok := c.workers[name]
 	if !ok {
@@ -73,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.worker(worker)
-	w.expire(time.Now())
+	c.expire(w, time.Now())
 	var tasks []ledger.TaskID
 	for key := range w.running {
 		tasks = append(tasks, w.tasks[key].Task)
@@ -105,9 +117,13 @@
 	case leader.OrderStart:
 		c.checkStart(w, o)
 		w.running[key], w.tasks[key] = time.Now(), o
+		c.starts[o.Task]++
+		if g := c.gang(o); g != nil {
+			g.join(w, c.Members(o.Task))
+		}
 	case leader.OrderStop:
 		if _, ok := w.running[key]; ok {
-			w.end(key, leader.EndStopped)
+			c.end(w, key, leader.EndStopped)
 		}
 	}
 	return nil
@@ -123,18 +139,18 @@
 	if to.Fence < w.fence {
 		return nil, &classifier.Error{Kind: classifier.Fenced}
 	}
-	w.expire(time.Now())
+	c.expire(w, time.Now())
 	w.fence, w.lease = to.Fence, max(w.lease, to.Values.Deadline())
 	return w, nil
 }
 
-// expire ends all runs if the leases have expired.
-func (w *workerState) expire(now time.Time) {
+// expire ends all runs at a worker if the leases there have expired. The caller holds c.mu.
+func (c *Cell) expire(w *workerState, now time.Time) {
 	if w.lease == 0 || now.UnixMilli() < w.lease {
 		return
 	}
 	for key := range w.running {
-		w.end(key, leader.EndLeaseExpired)
+		c.end(w, key, leader.EndLeaseExpired)
 	}
 }
 
@@ -154,7 +170,7 @@
 		c.violations = append(c.violations, "started after it was done: "+o.Task.String())
 	}
 	for name, other := range c.workers {
-		other.expire(time.Now())
+		c.expire(other, time.Now())
 		for key := range other.running {
 			if other.tasks[key].Task == o.Task {
 				c.violations = append(c.violations, "started twice: "+key+" at "+name)
@@ -163,9 +179,15 @@
 	}
 }
 
-// end removes a run and adds its end to the worker's report.
-func (w *workerState) end(key string, how leader.EndKind) {
+// end removes a run and adds its end to the worker's report. The caller holds c.mu.
+func (c *Cell) end(w *workerState, key string, how leader.EndKind) {
 	o := w.tasks[key]
+	if g := c.gang(o); g != nil {
+		g.note(how)
+	}
+	if how == leader.EndDone {
+		c.done[o.Task] = true
+	}
 	delete(w.running, key)
 	w.lastEnd++
 	w.ends = append(w.ends, leader.RunEnd{Number: w.lastEnd, Task: o.Task.String(), Run: o.Run, Kind: how})
@@ -194,12 +216,7 @@
 	if err != nil {
 		return leader.Report{}, err
 	}
-	for key, began := range w.running {
-		if time.Since(began) > c.RunTime {
-			c.done[w.tasks[key].Task] = true
-			w.end(key, leader.EndDone)
-		}
-	}
+	c.advance(w, time.Now())
 	for len(w.ends) > 0 && w.ends[0].Number <= acked {
 		w.ends = w.ends[1:]
 	}
@@ -211,6 +228,54 @@
 	return r, nil
 }
 
+// advance ends the runs at a worker that are due, and again those that become due as another
+// ends. The caller holds c.mu.
+func (c *Cell) advance(w *workerState, now time.Time) {
+	for ended := true; ended; {
+		ended = false
+		for key := range w.running {
+			if how := c.due(w, key, now); how != "" {
+				c.end(w, key, how)
+				ended = true
+			}
+		}
+	}
+}
+
+// due returns how a run ends now, or "" if it goes on. The caller holds c.mu.
+func (c *Cell) due(w *workerState, key string, now time.Time) leader.EndKind {
+	o := w.tasks[key]
+	if g := c.gang(o); g != nil {
+		return c.dueInGang(g, w, key, now)
+	}
+	if now.Sub(w.running[key]) <= c.RunTime {
+		return ""
+	}
+	return c.endOf(o)
+}
+
+// endOf returns how a run ends whose time is over.
+func (c *Cell) endOf(o leader.Order) leader.EndKind {
+	if c.End == nil {
+		return leader.EndDone
+	}
+	return c.End(o.Task, o.Run)
+}
+
+// Starts returns how many runs of a task have started.
+func (c *Cell) Starts(task ledger.TaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[task]
+}
+
+// LastEnd returns the number of the newest end at a worker, 0 before the first.
+func (c *Cell) LastEnd(worker string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.worker(worker).lastEnd
+}
+
 // Violations returns a description of each start that violated an invariant.
 func (c *Cell) Violations() []string {
 	c.mu.Lock()
