--- a/review/standin/board.go
+++ b/review/standin/board.go
@@ -141,10 +141,8 @@
 	case s.LongRunning:
 	case how == "done":
 		t.done[name] = true
-	case how == "failed" && s.Gang:
-		t.failed.Add(stepOf(name), run)
 	case how == "failed":
-		t.failed.Add(name, run)
+		t.failed.Add(unit(name, s), run)
 	}
 	if len(t.running) == 0 {
 		t.stillFrom = time.Now()
@@ -181,29 +179,77 @@
 	return !slices.ContainsFunc(t.job.Steps[step].After, func(before int) bool { return !t.stepDone(before) })
 }
 
-// hopeless reports whether a task, or a gang as a whole, has failed as often as the queue allows.
+// unit returns what has attempts: a task, or all of its gang.
+func unit(name string, s *step) string {
+	if s.Gang {
+		return stepOf(name)
+	}
+	return name
+}
+
+// hopeless reports whether a task or a gang has failed as often as the queue allows.
 func (t *tracked) hopeless() bool { return t.failed.Most() >= t.queue.attempt }
 
-// fails reports whether a run is to end as failed.
-func (t *tracked) fails(name string, run int) bool {
+// failedTogether returns how many runs of gangs failed, and how many of them with several
+// members.
+func (t *tracked) failedTogether() (all, together int) {
+	for step, s := range t.job.Steps {
+		if !s.Gang {
+			continue
+		}
+		runs, several := t.failed.Runs(fmt.Sprintf("%s.0.%d", t.id, step))
+		all, together = all+runs, together+several
+	}
+	return all, together
+}
+
+const (
+	// togetherShare is the share of the failing runs of gangs whose members fail at the same
+	// moment, and joinShare that of the other members that fail with them.
+	togetherShare = 0.5
+	joinShare     = 0.3
+)
+
+// drawn reports whether a key belongs to a share of all keys.
+func drawn(key string, share float64) bool {
 	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%s#%d", name, run)
+	_, _ = h.Write([]byte(key))
 	const parts = 10000
-	return t.job.poisoned || float64(h.Sum64()%parts) < t.job.failShare*parts
+	return float64(h.Sum64()%parts) < share*parts
+}
+
+// fails reports whether a run is to end as failed.
+func (t *tracked) fails(name string, run int) bool {
+	return t.job.poisoned || drawn(fmt.Sprintf("%s#%d", name, run), t.job.failShare)
+}
+
+// failsAtOnce reports whether the members of a gang that fail in a run do so at the same moment.
+func (t *tracked) failsAtOnce(step, run int) bool {
+	return drawn(fmt.Sprintf("%s.0.%d#%d at once", t.id, step, run), togetherShare) &&
+		slices.ContainsFunc(t.taskNames(step), func(name string) bool { return t.fails(name, run) })
+}
+
+// behavior is what a run does.
+type behavior struct {
+	gang   int // members of its gang, or 0
+	fails  bool
+	atOnce bool // with the other members of its gang that fail
 }
 
 // behavior returns what a run does.
-func (b *board) behavior(name string, run int) (gang int, fails bool) {
+func (b *board) behavior(name string, run int) behavior {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t, s := b.find(name)
 	if t == nil {
-		return 0, false
+		return behavior{}
 	}
+	own := behavior{fails: t.fails(name, run)}
 	if s.Gang {
-		gang = s.Count
+		own.gang, own.atOnce = s.Count, t.failsAtOnce(parseTask(name).step, run)
+		own.fails = own.fails || own.atOnce && drawn(fmt.Sprintf("%s#%d joins", name, run), joinShare)
 	}
-	return gang, t.fails(name, run)
+	return own
 }
 
 // size returns what a task requests.
--- a/review/standin/counter/counter.go
+++ b/review/standin/counter/counter.go
@@ -4,18 +4,18 @@
 
 // Failures holds the failed runs of several units by their numbers. The zero value has none.
 type Failures struct {
-	runs map[string]map[int]bool
+	runs map[string]map[int]int // number of parts that failed, by unit and run
 }
 
 // Add notes that a run of a unit has failed, or a part of that run.
 func (f *Failures) Add(unit string, run int) {
 	if f.runs == nil {
-		f.runs = map[string]map[int]bool{}
+		f.runs = map[string]map[int]int{}
 	}
 	if f.runs[unit] == nil {
-		f.runs[unit] = map[int]bool{}
+		f.runs[unit] = map[int]int{}
 	}
-	f.runs[unit][run] = true
+	f.runs[unit][run]++
 }
 
 // Most returns the number of failed runs of the unit that has the most.
@@ -26,3 +26,13 @@
 	}
 	return most
 }
+
+// Runs returns how many runs of a unit failed, and how many of them in several parts.
+func (f *Failures) Runs(unit string) (all, several int) {
+	for _, parts := range f.runs[unit] {
+		if parts > 1 {
+			several++
+		}
+	}
+	return len(f.runs[unit]), several
+}
--- a/review/standin/counter/counter_test.go
+++ b/review/standin/counter/counter_test.go
@@ -20,4 +20,7 @@
 	assert.Equal(t, f.Most(), 1, "failures of two units add up")
 	f.Add("gang", 2)
 	assert.Equal(t, f.Most(), 2)
+	all, several := f.Runs("gang")
+	assert.Equal(t, all, 2)
+	assert.Equal(t, several, 1)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -40,8 +40,7 @@
 	began    time.Time
 	takes    time.Duration // 0: until it is stopped
 	stopping bool
-	gang     int // members of its gang, or 0
-	fails    bool
+	behavior behavior
 	size     room
 }
 
@@ -208,9 +207,9 @@
 		switch {
 		case lapsed:
 			w.finish(key, t, "lapsed")
-		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.fails:
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.behavior.fails && !t.behavior.atOnce:
 			w.finish(key, t, "failed")
-		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.gang == 0:
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.behavior.gang == 0:
 			w.finish(key, t, "done")
 		}
 	}
@@ -380,7 +379,7 @@
 	t := &task{name: b.Task, run: b.Run, began: time.Now(), takes: takes(b.Spec, b.Task)}
 	w.running[key] = t
 	if w.board != nil {
-		t.gang, t.fails = w.board.behavior(b.Task, b.Run)
+		t.behavior = w.board.behavior(b.Task, b.Run)
 		t.size = w.board.size(b.Task)
 		w.board.began(b.Task, b.Run)
 	}
