--- a/internal/leader/speed.go
+++ b/internal/leader/speed.go
@@ -127,13 +127,14 @@
 func (t *transition) baselineRatio() float64 { return max(t.meanRatio, 1) }
 
 // moveStraggler stops a straggling run, so that its task starts elsewhere, and
-// returns the worker.
+// returns the worker. A run that is not stopped counts once, however often it is reported.
 func (t *transition) moveStraggler(w Worker, p Placement, step ledger.Step) Worker {
 	ratio, straggling := t.stragglerRatio(w, p, step)
-	if !straggling {
+	if !straggling || p.Straggles {
 		return w
 	}
-	w = w.WithRunRatio(ratio, stragglerWeight)
+	p.Straggles = true
+	w = w.WithPlacement(p).WithRunRatio(ratio, stragglerWeight)
 	t.setWorker(w)
 	if p.Run < maxMovedRun {
 		w = t.stopRun(w, p, "straggles behind the other tasks of its step")
--- a/internal/leader/speed_test.go
+++ b/internal/leader/speed_test.go
@@ -75,6 +75,17 @@
 	return n
 }
 
+// countDecisions returns the number of decisions of a kind.
+func (h *harness) countDecisions(what string) int {
+	n := 0
+	for _, d := range h.decisions {
+		if d.What == what {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against jobs that are delayed by one slow worker: a run that is far behind
 // when the other tasks of its step have ended is stopped, so that it starts
 // elsewhere. A run that is only a little late continues.
@@ -107,5 +118,32 @@
 	}
 }
 
+// Guards against the exclusion of a worker for a single straggling run, counted anew with each
+// report that lists it: the third run of a task is not moved any more.
+func TestAStragglingRunCountsOnce(t *testing.T) {
+	h := newHarness(t, 4, ledger.Resources{CPU: 1000, Memory: 8000})
+	h.submit("j", ledger.Queue{}, ledger.Step{Count: 4, Request: ledger.Resources{CPU: 1000}, Estimate: time.Second})
+	const last = "j.0.0.0"
+	for run := 1; run < 3; run++ {
+		worker := h.running[last]
+		delete(h.running, last)
+		h.ended[worker]++
+		h.report(worker, leader.RunEnd{Number: h.ended[worker], Task: last, Run: run, Kind: leader.EndStopped})
+	}
+	h.now = h.now.Add(time.Second)
+	for _, task := range []string{"j.0.0.1", "j.0.0.2", "j.0.0.3"} {
+		h.completeRuns(h.running[task], task)
+	}
+	worker := h.running[last]
+	for percent := 36; percent < 44; percent++ {
+		h.now = h.now.Add(25 * time.Millisecond)
+		h.applyReport(worker, leader.Report{
+			Incarnation: 1, Clock: h.now.UnixMilli(), Running: []leader.RunStatus{{Task: last, Number: 3, Percent: percent}},
+		}, h.now.Add(testLease).UnixMilli())
+	}
+	assert.Equal(t, h.countOrders(leader.OrderStop), 0)
+	assert.Equal(t, h.countDecisions("exclude"), 0)
+}
+
 // runningTasks returns the running tasks in a fixed order.
 func (h *harness) runningTasks() []string { return slices.Sorted(maps.Keys(h.running)) }
