--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -105,6 +105,20 @@
 	return ""
 }
 
+// lacksMember reports whether another member of a gang's run is not known to be executed.
+func (t *transition) lacksMember(job ActiveJob, p Placement) bool {
+	for other, w := range t.otherMembers(job, p) {
+		if other.Run == 0 || w.Reachability != Reachable {
+			return true
+		}
+		switch other.Stage {
+		case Recording, Withdrawn, StartSent:
+			return true
+		}
+	}
+	return false
+}
+
 // otherMembers iterates over the placements of the other members of a gang's run
 // and their workers. A member without a placement yields the zero Placement.
 func (t *transition) otherMembers(job ActiveJob, p Placement) iter.Seq2[Placement, Worker] {
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -40,3 +40,23 @@
 	h.submit("j", ledger.Queue{}, gangStep(3))
 	assert.Equal(t, h.countOrders(leader.OrderStop), 2)
 }
+
+// Guards against the exclusion of the workers of a whole gang when the worker of one member is
+// lost: the others make no progress without it.
+func TestALostWorkerExcludesNoOthersOfItsGang(t *testing.T) {
+	h := newHarness(t, 12, ledger.Resources{CPU: 1000, Memory: 8000})
+	h.submit("j", ledger.Queue{}, gangStep(4))
+	lost := h.running["j.0.0.0"]
+	var others []string
+	for _, task := range []string{"j.0.0.1", "j.0.0.2", "j.0.0.3"} {
+		others = append(others, h.running[task])
+		h.report(h.running[task])
+	}
+	h.apply(leader.PollFailed{Worker: lost})
+	h.advance(3 * time.Second)
+	for _, id := range others {
+		h.report(id)
+	}
+	assert.Equal(t, h.countOrders(leader.OrderStop), 3)
+	assert.Equal(t, h.countDecisions("exclude"), 0)
+}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -220,7 +220,7 @@
 	if w = t.moveStraggler(w, p, step); w.stopping(p.key()) {
 		return w
 	}
-	return t.stopIfHung(w, p, step)
+	return t.stopIfHung(w, p, job)
 }
 
 // adopt returns the placement of a run that an earlier leader started and that the
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -85,12 +85,17 @@
 }
 
 // stopIfHung stops a run that makes no progress, according to a report that lists it,
-// and returns the worker.
-func (t *transition) stopIfHung(w Worker, p Placement, step ledger.Step) Worker {
+// and returns the worker. The worker is excluded, unless the run is that of a gang's member
+// which waits for another one.
+func (t *transition) stopIfHung(w Worker, p Placement, job ActiveJob) Worker {
+	step := job.Job.Steps[p.Task.Step]
 	if !t.hung(p, step) {
 		return w
 	}
 	w = t.stopRun(w, p, "makes no progress")
+	if step.Gang && t.lacksMember(job, p) {
+		return w
+	}
 	return t.exclude(w, "a task makes no progress")
 }
 
