--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -60,3 +60,35 @@
 	assert.Equal(t, h.countOrders(leader.OrderStop), 3)
 	assert.Equal(t, h.countDecisions("exclude"), 0)
 }
+
+// Guards against failures that count as consecutive although a run was completed in between: a
+// member of a gang whose end is reported after the one that has completed the round.
+func TestEachCompletedMemberOfAGangEndsTheFailuresOfItsWorker(t *testing.T) {
+	h := newHarness(t, 3, ledger.Resources{CPU: 1000, Memory: 8000})
+	fail := func(task, worker string) {
+		delete(h.running, task)
+		h.ended[worker]++
+		h.report(worker, leader.RunEnd{Number: h.ended[worker], Task: task, Run: 1, Kind: leader.EndFailed})
+	}
+	once := ledger.Queue{Attempts: 1}
+	h.submit("a", once, ledger.Step{Count: 1, Request: ledger.Resources{CPU: 1000}})
+	worker := h.running["a.0.0.0"]
+	fail("a.0.0.0", worker)
+	h.submit("gang", ledger.Queue{}, gangStep(3))
+	last := ""
+	for _, task := range h.runningTasks() {
+		if h.running[task] == worker {
+			last = task
+			continue
+		}
+		h.completeRuns(h.running[task], task)
+	}
+	h.completeRuns(worker, last)
+	h.submit("b", once, ledger.Step{Count: 3, Request: ledger.Resources{CPU: 1000}})
+	for _, task := range h.runningTasks() {
+		if h.running[task] == worker {
+			fail(task, worker)
+		}
+	}
+	assert.Equal(t, h.countDecisions("exclude"), 0)
+}
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -256,6 +256,9 @@
 	}
 	job, ok := t.active.get(string(id.Job))
 	if !ok || !job.Progress.HasTask(id) {
+		if e.Kind == EndDone {
+			t.endFailures(w.ID) // as of the member of a gang that completed the round
+		}
 		return
 	}
 	if placed && e.Kind == EndDone && !job.Progress.State.Final() {
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -117,8 +117,7 @@
 	}
 	switch e.Kind {
 	case EndDone:
-		w.ConsecutiveFailures, w.ExclusionTime, w.LastFailedJob = 0, 0, ""
-		t.setWorker(w)
+		t.endFailures(id)
 	case EndFailed:
 		if job.Job.Steps[task.Step].LongRunning || w.LastFailedJob == job.Job.ID {
 			return
@@ -131,6 +130,14 @@
 	}
 }
 
+// endFailures starts the count of a worker's consecutive failures anew after a completed run.
+func (t *transition) endFailures(id string) {
+	if w, ok := t.fleet.get(id); ok {
+		w.ConsecutiveFailures, w.ExclusionTime, w.LastFailedJob = 0, 0, ""
+		t.setWorker(w)
+	}
+}
+
 // exclude bars a worker from new tasks temporarily, unless it is excluded already
 // or too many others are, and returns the worker.
 func (t *transition) exclude(w Worker, why string) Worker {
