--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -37,6 +37,7 @@
 			id := ledger.TaskID{Job: r.job.Job.ID, Round: r.round, Step: r.step, Index: index}
 			p.placeRun(r, id, run+1, i, held)
 		}
+		p.pauseNearWait(r.key)
 		return
 	}
 	p.pauseNearWait(r.key)
--- a/internal/leader/near.go
+++ b/internal/leader/near.go
@@ -261,20 +261,26 @@
 		p.emit(Decision{What: "wait", Job: r.job.Job.ID, Task: r.key, Why: fmt.Sprintf(
 			"%d tasks for rack %s, expected in %d ms, at most %d ms", tasks, rack, expected.Milliseconds(), left.Milliseconds())})
 	}
-	w = w.WithVisit(p.now, rack, r.spec().Reservation().Times(tasks))
-	p.nearWaits = p.nearWaits.With(r.key, w)
-	if p.racks.waits != nil {
-		p.racks.waits[rack] = append(slices.DeleteFunc(p.racks.waits[rack], func(o nearWait) bool { return o.step == w.step }), w)
-	}
+	p.setNearWait(w, w.WithVisit(p.now, rack, r.spec().Reservation().Times(tasks)))
 	p.fullSteps.Spend(r.key)
 	p.deferStep(r)
 }
 
 // pauseNearWait stops the clock of a step's wait: it has no room anywhere, or starts.
-func (t *transition) pauseNearWait(key string) {
-	if w, ok := t.nearWaits.Get(key); ok && !w.seen.IsZero() {
-		t.nearWaits = t.nearWaits.With(key, w.WithPause(t.now))
+func (p *placementPass) pauseNearWait(key string) {
+	if w, ok := p.nearWaits.Get(key); ok && !w.seen.IsZero() {
+		p.setNearWait(w, w.WithPause(p.now))
+	}
+}
+
+// setNearWait replaces a step's wait, also among those that the pass counts as ahead of others.
+func (p *placementPass) setNearWait(before, w nearWait) {
+	p.nearWaits = p.nearWaits.With(w.step, w)
+	if p.racks.waits == nil {
+		return
 	}
+	p.racks.waits[before.rack] = slices.DeleteFunc(p.racks.waits[before.rack], func(o nearWait) bool { return o.step == w.step })
+	p.racks.waits[w.rack] = append(p.racks.waits[w.rack], w)
 }
 
 // endNearWait removes the wait of a step that waits no more.
--- a/internal/leader/near_test.go
+++ b/internal/leader/near_test.go
@@ -170,3 +170,43 @@
 		"waited j.0.0: 500 ms for rack r0",
 	})
 }
+
+// Guards against a step that starts away from its rack since a gang before it counts twice: by
+// the room that it has just taken, and as if it still waited for that room.
+func TestAGangThatHasStartedIsNotAheadOfOtherWaits(t *testing.T) {
+	h := newRackHarness(t, 3, 4, 500*time.Millisecond)
+	gang := gangStep(2)
+	gang.Rack, gang.Estimate = "r0", 10*time.Second
+	h.submit("gang", ledger.Queue{}, gang)
+	h.submit("j", ledger.Queue{Priority: 1}, nearTask(time.Second))
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, h.running["gang.0.0.0"]+h.running["j.0.0.0"], "", "both wait")
+	var ended []string
+	for _, task := range h.runningTasks() {
+		if h.running[task] == "w00" {
+			ended = append(ended, task)
+		}
+	}
+	h.completeRuns("w00", ended...)
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, inFirstRack(h.running["gang.0.0.0"]))
+	assert.Equal(t, h.running["j.0.0.0"], "", "the rack has room for it in 100 ms")
+}
+
+// Guards against a step that starts away from its rack since a task before it that has just
+// started there still counts as waiting, once a gang before both has looked for room.
+func TestATaskThatHasStartedIsNotAheadOfOtherWaits(t *testing.T) {
+	h := newRackHarness(t, 3, 4, 500*time.Millisecond)
+	gang := gangStep(2)
+	gang.Rack, gang.Estimate = "r0", 10*time.Second
+	h.submit("gang", ledger.Queue{}, gang)
+	h.submit("j", ledger.Queue{Priority: 1}, nearTask(time.Second))
+	h.submit("k", ledger.Queue{Priority: 2}, nearTask(time.Second))
+	h.advance(300 * time.Millisecond)
+	assert.Equal(t, h.running["j.0.0.0"]+h.running["k.0.0.0"], "", "both wait")
+	h.end("first.0.0.0")
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, h.running["gang.0.0.0"], "")
+	assert.Assert(t, inFirstRack(h.running["j.0.0.0"]))
+	assert.Equal(t, h.running["k.0.0.0"], "", "the rack has room for it in 100 ms")
+}
