--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -209,7 +209,7 @@
 
 // putPlacement adds or replaces a placement at a worker and returns the worker.
 func (t *transition) putPlacement(w Worker, p Placement) Worker {
-	if !w.Placements.Has(p.key()) {
+	if old, ok := w.Placements.Get(p.key()); (!ok || old.Orphan) && !p.Orphan {
 		t.addRuns(p.Task.Job, 1)
 		t.accountRun(p, 1)
 	}
@@ -221,7 +221,7 @@
 // removePlacement removes a placement, whose run is known to have ended, from a
 // worker and returns the worker.
 func (t *transition) removePlacement(w Worker, p Placement) Worker {
-	if counted, ok := w.Placements.Get(p.key()); ok {
+	if counted, ok := w.Placements.Get(p.key()); ok && !counted.Orphan {
 		t.addRuns(p.Task.Job, -1)
 		t.accountRun(counted, -1)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -161,6 +161,7 @@
 	BestEffort    bool          // uses only processor time that other tasks leave idle
 	LatencyTarget time.Duration // bound on its response times, 0 for none
 	FromStart     bool          // this leader started the task without a checkpoint
+	Orphan        bool          // its job was not known when the run was reported; does not count against it
 	Straggles     bool          // the slowness of its worker includes that it straggles
 	Preemptible   bool          // may be stopped for a task of the highest priority
 	Urgent        bool          // of the highest priority, within the share of its workspace, and not meant to last
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -339,3 +339,25 @@
 	}
 	return n
 }
+
+// Guards against a run that counts against its job at its end only: it is reported to a leader
+// that reads the job later. The job then counted as without runs, so that its cancellation
+// left them executing and was recorded as if all were over.
+func TestARunReportedBeforeItsJobCounts(t *testing.T) {
+	h := newHarness(t, 2, ledger.Resources{CPU: 2000, Memory: 8000})
+	h.running["j.0.0.0"] = "w00"
+	h.report("w00")
+	job := ledger.Job{ID: "j", Accepted: h.now, Queue: ledger.Queue{Service: "s"}, Workspace: "a", Steps: []ledger.Step{{Count: 2, Request: ledger.Resources{CPU: 1000}}}}
+	begun := ledger.NewProgress(job).WithRoundBegun(job, 0).WithState(ledger.Running)
+	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w00"))
+	h.capCPU(1, 8000)
+	h.apply(leader.Accepted{Job: job, Progress: &begun})
+	h.report("w00")
+	assert.Equal(t, h.state.Standings(1)[0].Use.Runs, 2, "the one that was reported and the one that was placed")
+	h.apply(leader.CancelAccepted{Job: "j"})
+	assert.Assert(t, !h.records["j"].Terminated(), "both runs may be executing")
+	delete(h.running, "j.0.0.0")
+	h.report("w00", leader.RunEnd{Number: 1, Task: "j.0.0.0", Run: 1, Kind: leader.EndStopped})
+	assert.Equal(t, h.state.Standings(1)[0].Use.Runs, 1)
+	assert.Assert(t, !h.records["j"].Terminated(), "the run at the other worker may be executing")
+}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -243,7 +243,8 @@
 		return w
 	}
 	p := Placement{Task: id, Run: r.Number, Stage: Running, AnsweredAt: t.now, StartedAt: t.now, Checkpoint: r.Checkpoint}
-	if job, ok := t.active.get(string(id.Job)); ok && id.Step < len(job.Job.Steps) {
+	job, ok := t.active.get(string(id.Job))
+	if p.Orphan = !ok; ok && id.Step < len(job.Job.Steps) {
 		p.Size, p.Workspace = job.Job.Steps[id.Step].Reservation(), job.Job.Workspace
 	}
 	w = t.putPlacement(w, p)
