--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -85,10 +85,7 @@
 	default:
 		t.jobs = t.jobs.With(id, *c.Job)
 		if t.role == Leading {
-			t.applyToLeader(leader.Accepted{Job: *c.Job})
-			if t.cancels.Has(id) {
-				t.applyToLeader(leader.CancelAccepted{Job: c.ID})
-			}
+			t.accept(*c.Job) // an earlier leader may have read it before and begun it
 		}
 	}
 }
@@ -379,7 +376,7 @@
 	}
 }
 
-// accept hands a job to the new leader.
+// accept hands a job to the leader, with the progress that an earlier one has recorded.
 func (t *transition) accept(job ledger.Job) {
 	id := string(job.ID)
 	accepted := leader.Accepted{Job: job}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -232,3 +232,35 @@
 	assert.Assert(t, !known)
 	assert.Equal(t, e.state.Offset(keeper.Jobs), int64(3))
 }
+
+// Guards against a second start of a task that an earlier leader has started: the entry that
+// leads next may have read less of the jobs than that leader.
+func TestAJobReadLateKeepsItsRuns(t *testing.T) {
+	e := synced()
+	late := job("j")
+	begun := ledger.NewProgress(*late.Job).WithRoundBegun(*late.Job, 0).WithState(ledger.Running)
+	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
+	e.runs(keeper.RunChange{ID: "j", Progress: &begun})
+	e.claims(time.Second)
+	e.apply(keeper.Claimed{Epoch: 9})
+	submit := func(event leader.Event) []keeper.Effect {
+		return e.apply(keeper.LeaderEvent{Epoch: 9, Event: event})
+	}
+	submit(leader.Listed{Listing: leader.Listing{ID: "other", Address: "other", Capacity: ledger.Resources{CPU: 1}}})
+	effects := submit(leader.Reported{Worker: "other", Report: leader.Report{Incarnation: 1, Clock: 1}, Sent: e.now, Silence: leader.FirstSilence(0)})
+	batch := int64(0)
+	for _, effect := range effects {
+		if l, ok := effect.(keeper.LeaderEffect); ok {
+			if r, ok := l.Effect.(leader.RecordLeases); ok {
+				batch = r.Batch
+			}
+		}
+	}
+	e.apply(keeper.Written{Batch: batch})
+	for _, effect := range e.apply(keeper.JobsRead{Changes: []keeper.JobChange{late}, Next: 1}) {
+		if l, ok := effect.(keeper.LeaderEffect); ok {
+			d, _ := l.Effect.(leader.Decision)
+			assert.Assert(t, d.What != "place", "%+v", d)
+		}
+	}
+}
