--- a/internal/leader/gang_failures_test.go
+++ b/internal/leader/gang_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -224,3 +225,100 @@
 		assert.Equal(t, sum, run)
 	}
 }
+
+// Guards against a member that runs again at a worker where it has failed, although another
+// member of its gang was counted for both.
+func TestEachMemberThatFailedAvoidsItsLastWorker(t *testing.T) {
+	policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}
+	h := newRackedHarness(t, 4, ledger.Resources{CPU: 1000, Memory: 8000}, policy, func(i int) string { return fmt.Sprintf("r%d", i/2) })
+	step := gangStep(2)
+	step.Rack = "r0"
+	h.submit("j", ledger.Queue{Attempts: 3}, step)
+	assert.DeepEqual(t, slices.Sorted(maps.Values(h.running)), []string{"w00", "w01"})
+	h.endGang(1, 0, 1)
+	assert.DeepEqual(t, slices.Sorted(maps.Values(h.running)), []string{"w02", "w03"})
+}
+
+// Guards against the end of a run that is reported once more, by its worker or another one,
+// before and after the gang runs again.
+func TestAFailureOfAGangThatIsReportedAgainCountsOnce(t *testing.T) {
+	h := gangOf(t, 3, 2)
+	again := func(worker string) {
+		h.ended[worker]++
+		h.report(worker, leader.RunEnd{Number: h.ended[worker], Task: h.member(0), Run: 1, Kind: leader.EndFailed})
+		assert.Equal(t, h.lastFailures(), 1)
+	}
+	first, second := h.running[h.member(0)], h.running[h.member(1)]
+	h.endMember(0, 1, leader.EndFailed)
+	again(first)
+	again(second)
+	h.endMember(1, 1, leader.EndFailed)
+	h.endMember(2, 1, leader.EndFailed)
+	assert.Equal(t, len(h.running), 3, "the gang runs again")
+	again(first)
+	assert.Assert(t, !h.records["j"].State.Final(), "the job is %s after 1 failed run of 2", h.records["j"].State)
+	h.endGang(2, 2)
+	assert.Equal(t, h.records["j"].State, ledger.Failed)
+}
+
+// Guards against a run that counts for each member again once earlier runs have broken up
+// without a failure, so that there are fewer failures than runs.
+func TestARunCountsOnceAfterRunsThatDidNotFail(t *testing.T) {
+	h := gangOf(t, 3, 3)
+	for run := 1; run <= 4; run++ {
+		h.endGang(run)
+	}
+	assert.Equal(t, h.lastFailures(), 0)
+	h.endGang(5, 2, 0, 1)
+	assert.Equal(t, h.lastFailures(), 1)
+	h.endGang(6)
+	h.endGang(7, 1, 2)
+	assert.Equal(t, h.lastFailures(), 2)
+	assert.Equal(t, len(h.running), 3, "the gang runs again")
+	h.endGang(8, 0)
+	assert.Equal(t, h.records["j"].State, ledger.Failed)
+}
+
+// Guards against what an earlier version counted too much being kept when further runs fail.
+func TestRunsAfterAnEarlierVersionMakeUpForItsFailures(t *testing.T) {
+	h := inherit(t, 4, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1})
+	h.endGang(2, 0, 2)
+	h.endGang(3)
+	h.endGang(4, 1)
+	assert.Equal(t, h.lastFailures(), 3)
+	assert.Equal(t, len(h.running), 3, "the gang runs again")
+}
+
+// The same for a task without a gang, near whose data only the worker has room where it failed.
+func TestATaskThatFailedAvoidsItsLastWorker(t *testing.T) {
+	policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}
+	h := newRackedHarness(t, 2, ledger.Resources{CPU: 1000, Memory: 8000}, policy, func(i int) string { return fmt.Sprintf("r%d", i) })
+	h.submit("j", ledger.Queue{Attempts: 3}, ledger.Step{Count: 1, Rack: "r0", Request: ledger.Resources{CPU: 1000}})
+	assert.Equal(t, h.running[h.member(0)], "w00")
+	h.endMember(0, 1, leader.EndFailed)
+	assert.Equal(t, h.running[h.member(0)], "w01")
+}
+
+// Guards against a job being counted as one that waits for its first start after a run of it
+// has failed.
+func TestAJobHasBegunOnceARunHasFailed(t *testing.T) {
+	h := gangOf(t, 2, 3)
+	assert.Assert(t, !h.records["j"].Began)
+	h.endMember(0, 1, leader.EndFailed)
+	assert.Assert(t, h.records["j"].Began)
+}
+
+// Guards against a failure that is counted again by the next leader, which has it from the log and
+// hears of the same end since its worker could not be told to forget it.
+func TestAFailureInTheLogIsNotCountedAgain(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	j := ledger.Job{ID: "j", Accepted: h.now, Queue: ledger.Queue{Service: "s", Attempts: 2}, Steps: []ledger.Step{{Count: 1}}}
+	h.apply(leader.Accepted{Job: j, Progress: &ledger.Progress{State: ledger.Running, Began: true, Rounds: []ledger.Round{{Tasks: [][]ledger.Task{{{Run: 1, Failures: 1, Worker: "w00"}}}}}}})
+	h.apply(leader.Listed{Listing: leader.Listing{ID: "w00", Address: "w00", Service: "s", Capacity: ledger.Resources{CPU: 1000, Memory: 8000}}})
+	h.report("w00", leader.RunEnd{Number: 1, Task: h.member(0), Run: 1, Kind: leader.EndFailed})
+	h.report("w00")
+	h.advance(time.Second)
+	assert.Equal(t, h.records["j"].State, ledger.Running)
+	assert.Equal(t, h.records["j"].Task(0, 0, 0).Failures, 1)
+	assert.Equal(t, h.running[h.member(0)], "w00", "the task runs again")
+}
