--- a/cmd/endivelock/schedule.go
+++ b/cmd/endivelock/schedule.go
@@ -19,10 +19,6 @@
 	adapter "github.com/endivelock/endivelock/platform"
 )
 
-// memoryLimitFraction is the runtime's memory limit as a fraction of the entry's
-// memory. Near the limit, the heap is collected however little it has grown.
-const memoryLimitFraction = 0.6
-
 // scheduleCommand runs an entry that schedules jobs on a cell of the platform.
 type scheduleCommand struct {
 	Config string `arg:"--config,required" help:"settings file"`
--- a/cmd/endivelock/serve.go
+++ b/cmd/endivelock/serve.go
@@ -29,9 +29,9 @@
 	// gcPercent lets the heap grow to five times the live heap before it is
 	// collected; an entry's live heap is small.
 	gcPercent = 400
-	// memoryLimitBytes is the runtime's memory limit. Near it, the heap is
-	// collected however little it has grown.
-	memoryLimitBytes = 192 << 20
+	// memoryLimitFraction is the runtime's memory limit as a fraction of the entry's
+	// memory. Near the limit, the heap is collected however little it has grown.
+	memoryLimitFraction = 0.6
 )
 
 // exitCode returns the exit code for an error.
@@ -76,7 +76,7 @@
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Memory<<20)))
 	}
 	logger := newLogger(s)
 	entry := assembler.New(s, logger)
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,6 +26,7 @@
 	"github.com/endivelock/endivelock/internal/controller"
 	"github.com/endivelock/endivelock/internal/follower"
 	"github.com/endivelock/endivelock/internal/gossiper"
+	"github.com/endivelock/endivelock/internal/limiter"
 	"github.com/endivelock/endivelock/internal/loader"
 	"github.com/endivelock/endivelock/internal/queries/lister"
 	"github.com/endivelock/endivelock/internal/queries/reporter"
@@ -55,15 +55,16 @@
 	reporter   *reporter.Reporter
 	followers  []*follower.Follower
 	listeners  listeners
-	killed     chan struct{} // closed by Kill
+	closed     metrics.Registry // counts connections closed at a limit, by reason
+	killed     chan struct{}    // closed by Kill
 }
 
 // listeners holds the open sockets in the order in which they are closed.
 type listeners struct {
-	callers   net.Listener
-	operators net.Listener
-	forward   net.Listener
-	peers     net.Listener
+	callers   *limiter.Listener
+	operators *limiter.Listener
+	forward   *limiter.Listener
+	peers     *limiter.Listener
 }
 
 // New returns an entry that is not running. Call Run to start it.
@@ -74,7 +75,7 @@
 		Peer:    s.Listen.Peers,
 		Forward: s.Listen.Forward,
 	}
-	e := &Entry{settings: s, logger: logger.WithFields(logrus.Fields{"entry": self.ID.Name, "zone": string(s.Zone)}), killed: make(chan struct{})}
+	e := &Entry{settings: s, logger: logger.WithFields(logrus.Fields{"entry": self.ID.Name, "zone": string(s.Zone)}), closed: metrics.NewRegistry(), killed: make(chan struct{})}
 	e.limits.Store(&s.Limits)
 	e.wireCommands(self)
 	e.wireQueries()
@@ -129,6 +130,7 @@
 	e.reporter.Add("effects.dropped", e.performer.Dropped)
 	e.reporter.AddAll("requests.", e.admitter.Counters)
 	e.reporter.AddAll("forwards.", e.forwards.Counters)
+	e.reporter.AddAll("closed.", e.closed)
 	for _, f := range e.followers {
 		e.reporter.Add("log."+f.Stream+".skipped", f.Skipped)
 		e.reporter.Add("log."+f.Stream+".failed", f.Failed)
--- a/internal/assembler/listen.go
+++ b/internal/assembler/listen.go
@@ -5,18 +5,17 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/thejerf/suture/v4"
-)
 
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	"github.com/endivelock/endivelock/internal/limiter"
 )
 
+// maxOperatorConnections bounds the connections of operators and scrapers.
+const maxOperatorConnections = 64
+
 // httpServers holds the HTTP servers of an entry in the order in which they stop.
 type httpServers struct {
 	callers   *http.Server
@@ -27,25 +26,35 @@
 // listen opens all sockets before any service starts, so that Run fails at once
 // on a bad address.
 func (e *Entry) listen() error {
+	budgets := limiter.NewBudgets(e.settings.Memory<<20, 0)
+	owner := limiter.New(budgets.Bytes, e.countClosed)
 	for _, l := range []struct {
 		name    string
 		address string
-		target  *net.Listener
+		most    int
+		target  **limiter.Listener
 	}{
-		{"peers", e.settings.Listen.Peers, &e.listeners.peers},
-		{"forward", e.settings.Listen.Forward, &e.listeners.forward},
-		{"operators", e.settings.Listen.Operators, &e.listeners.operators},
-		{"callers", e.settings.Listen.Callers, &e.listeners.callers},
+		{"peers", e.settings.Listen.Peers, budgets.Connections / 2, &e.listeners.peers},
+		{"forward", e.settings.Listen.Forward, budgets.Connections / 2, &e.listeners.forward},
+		{"operators", e.settings.Listen.Operators, maxOperatorConnections, &e.listeners.operators},
+		{"callers", e.settings.Listen.Callers, budgets.Connections, &e.listeners.callers},
 	} {
 		opened, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return errors.Wrapf(err, "open listener for %s", l.name)
 		}
-		*l.target = opened
+		*l.target = owner.Listen(opened, l.most, defaultLimits)
 	}
 	return nil
 }
 
+func defaultLimits() limiter.Limits { return limiter.Limits{} }
+
+// countClosed counts a connection that was closed or a request that was refused at a limit.
+func (e *Entry) countClosed(reason string) {
+	metrics.GetOrRegisterCounter(reason, e.closed).Inc(1)
+}
+
 // serviceFunc adapts a function to suture.Service.
 type serviceFunc struct {
 	name  string
@@ -60,15 +69,15 @@
 
 func (e *Entry) addListeners(supervisor *suture.Supervisor) httpServers {
 	s := httpServers{
-		callers:   newServer(e.callersMux()),
-		forward:   newServer(e.forwards),
-		operators: newServer(e.operatorsMux()),
+		callers:   newServer(e.callersMux(), e.listeners.callers.Relays()),
+		forward:   newServer(e.forwards, e.listeners.forward.Relays()),
+		operators: newServer(e.operatorsMux(), e.listeners.operators),
 	}
 	supervisor.Add(httpService("callers", s.callers, e.listeners.callers))
 	supervisor.Add(httpService("forward", s.forward, e.listeners.forward))
 	supervisor.Add(httpService("operators", s.operators, e.listeners.operators))
 	supervisor.Add(serviceFunc{"peers", func(ctx context.Context) error {
-		err := e.gossiper.Listen(ctx, e.listeners.peers)
+		err := e.gossiper.Listen(ctx, e.listeners.peers.Streams())
 		return errors.Mark(err, suture.ErrDoNotRestart)
 	}})
 	return s
@@ -81,13 +90,8 @@
 	}}
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+func newServer(h http.Handler, l *limiter.Listener) *http.Server {
+	return l.Server(h, func(net.Conn, http.ConnState) {})
 }
 
 // callersMux returns the handler of the callers' listener. Paths under /-/ are
--- a/internal/commands/admitter/admitter.go
+++ b/internal/commands/admitter/admitter.go
@@ -42,6 +42,9 @@
 	defaultTimeout = 10 * time.Second
 	// maxTimeout bounds a caller's timeout.
 	maxTimeout = 10 * time.Minute
+	// bodyGrace is how long after a deadline a request's body may still be read, so that the caller gets the
+	// answer that belongs to the deadline.
+	bodyGrace = time.Second
 	// maxTried bounds the entries that are read from headerTried.
 	maxTried = 16
 )
@@ -163,6 +166,7 @@
 		v.writeProblem(*problem, 0)
 		return
 	}
+	v.readUntil(v.request.Deadline.Add(bodyGrace))
 	v.serve()
 }
 
--- a/internal/commands/admitter/exchange.go
+++ b/internal/commands/admitter/exchange.go
@@ -314,11 +314,19 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// readUntil sets the time until which the request's body is read. The limiter ends the deadline with the body.
+func (f *inflight) readUntil(t time.Time) {
+	if f.r.ContentLength != 0 && !f.body.ended.Load() {
+		_ = http.NewResponseController(f.w).SetReadDeadline(t)
+	}
+}
+
 // countingBody counts the bytes that were read of a request's body. Close does
 // nothing: the HTTP server closes the body.
 type countingBody struct {
 	inner io.Reader
 	read  atomic.Int64
+	ended atomic.Bool // read to its end
 }
 
 var _ io.ReadCloser = (*countingBody)(nil)
@@ -327,6 +335,9 @@
 func (b *countingBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
 	b.read.Add(int64(n))
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
 	return n, err
 }
 
--- a/internal/commands/responder/responder.go
+++ b/internal/commands/responder/responder.go
@@ -3,26 +3,38 @@
 package responder
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivelock/endivelock/internal/commands/committer"
+	"github.com/endivelock/endivelock/internal/limiter"
 	"github.com/endivelock/endivelock/internal/scheduler"
 	"github.com/endivelock/endivelock/pkg/messenger"
 )
 
 // DecodeBody decodes a JSON body of at most limit bytes and reports whether it is
-// valid. If not, it has responded with status 400.
+// valid. If not, it has responded with a problem document.
 func DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, body any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
-	d.DisallowUnknownFields()
-	if err := d.Decode(body); err != nil {
+	data, err := limiter.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(data))
+		d.DisallowUnknownFields()
+		err = d.Decode(body)
+	}
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, limiter.ErrCrowded):
+		Fail(w, http.StatusServiceUnavailable, scheduler.NotRun, "crowded", err.Error())
+	case errors.Is(err, limiter.ErrSlow):
+		Fail(w, http.StatusRequestTimeout, scheduler.NotRun, "body-slow", err.Error())
+	default:
 		Fail(w, http.StatusBadRequest, scheduler.NotRun, "body-invalid", err.Error())
-		return false
 	}
-	return true
+	return false
 }
 
 // Fail responds with a problem document.
--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -41,6 +41,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	if c.listener.relays {
+		n = 0
+	}
 	if c.account.leaving || !l.hold(c, n, now) {
 		return false
 	}
--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -67,7 +67,7 @@
 	}
 	switch p {
 	case inBody:
-		c.due = c.account.bodyDeadline()
+		c.due = c.bodyDeadline()
 		c.timed = true
 		_ = c.Conn.SetReadDeadline(c.due)
 	case deciding:
@@ -76,6 +76,14 @@
 	}
 }
 
+// bodyDeadline returns when the time for the body ends. The caller holds limiter.mu.
+func (c *conn) bodyDeadline() time.Time {
+	if c.listener.relays && !c.account.patience.IsZero() {
+		return c.account.patience
+	}
+	return c.account.bodyDeadline()
+}
+
 // SetReadDeadline sets the deadline of the server. A time to come stands for the limit of the phase, but while a body
 // arrives it is a handler's, the time until which the client waits. No deadline then stands for that of the body.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -92,7 +100,7 @@
 		if !t.IsZero() {
 			l.update(c, c.account.withPatience(t))
 		}
-		c.due = c.account.bodyDeadline()
+		c.due = c.bodyDeadline()
 		t = c.due
 	case c.account.phase == inHead && t.After(now):
 		t = now.Add(c.listener.limits().HeadTimeout() + slack)
@@ -152,7 +160,7 @@
 		}
 		return false, !l.hold(c, int64(len(p)+fieldBytes*bytes.Count(p, []byte{'\n'})), time.Now())
 	case inBody:
-		if due := c.account.bodyDeadline(); !c.account.leaving && due.Sub(c.due) > time.Second {
+		if due := c.bodyDeadline(); !c.account.leaving && due.Sub(c.due) > time.Second {
 			c.due, c.timed = due, true
 			_ = c.Conn.SetReadDeadline(due)
 		}
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -21,6 +21,7 @@
 	newest  *conn
 	closed  bool
 	streams bool
+	relays  bool
 }
 
 // Streams returns the listener for connections that carry messages of other entries instead of requests.
@@ -29,6 +30,13 @@
 	return l
 }
 
+// Relays returns the listener for requests whose bodies are passed on as they arrive. Their bytes don't count
+// against the budget, and their time is that which the handler sets as the deadline of reading.
+func (l *Listener) Relays() *Listener {
+	l.relays = true
+	return l
+}
+
 // Accept returns the next connection. If all are taken, it closes the slowest, or waits until one closes.
 func (l *Listener) Accept() (net.Conn, error) {
 	if !l.makeRoom() {
@@ -125,7 +133,7 @@
 			// The server looks at its own request when it answers, so this one is another.
 			r = r.WithContext(r.Context())
 			r.Body = &body{ReadCloser: r.Body, conn: c}
-			if r.Method == http.MethodDelete {
+			if r.Method == http.MethodDelete && !l.relays {
 				// What it asks for runs without its body, which the server reads afterwards.
 				c.enter(deciding)
 				defer c.enter(inBody)
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -24,9 +24,10 @@
 `
 
 func TestValidSettings(t *testing.T) {
-	s, err := loader.Parse("f", []byte(valid+"limits:\n  lease: 4s\nlog: {level: debug, format: text}\n"))
+	s, err := loader.Parse("f", []byte(valid+"limits:\n  lease: 4s\nmemory: 512\nlog: {level: debug, format: text}\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Name, "e0")
+	assert.Equal(t, s.Memory, int64(512))
 	assert.Equal(t, s.Limits.Lease, 4*time.Second)
 	assert.Equal(t, s.Policy().Lease, 4*time.Second)
 	assert.Equal(t, s.Limits.Drain, 30*time.Second)
@@ -52,6 +53,7 @@
 		{"key twice", valid + "name: e1\n", `f:10:1: file: found mapping key "name" already defined`},
 		{"list for a text", strings.Replace(valid, "name: e0", "name: [e0]", 1), `name: found a list`},
 		{"no mapping", "- a\n- b\n", `file: found a list, allowed is a mapping`},
+		{"no memory", valid + "memory: 0\n", `memory: found "0", allowed is a number of megabytes from 1 to 1048576`},
 		{"bad share", valid + "goals: {share: 2}\n", `goals.share: found "2", allowed is a number between 0 and 1`},
 		{"bad level", valid + "log: {level: loud}\n", `allowed is one of error, warning, info, debug`},
 		{"no YAML", "name: [", `allowed is YAML`},
--- a/internal/loader/schema.go
+++ b/internal/loader/schema.go
@@ -33,6 +33,7 @@
 	allowedName     = "a name of letters, digits, dots and dashes"
 	allowedAddress  = "an IP number and a port such as 10.0.0.1:7000"
 	allowedDuration = "a positive duration with a unit such as 1500ms or 2s"
+	allowedMemory   = "a number of megabytes from 1 to 1048576"
 	allowedLimit    = "a number of milliseconds, or 0 for no limit"
 )
 
@@ -47,6 +48,7 @@
 		{name: "servers", section: []field{
 			{name: "status", allowed: "a path such as /slots", set: textSetter(isPath, func(s *Settings, v string) { s.Status = v })},
 		}},
+		{name: "memory", allowed: allowedMemory, set: setMemory},
 		{name: "limits", section: limitsSchema()},
 		{name: "log", section: []field{
 			{name: "level", allowed: "one of error, warning, info, debug", set: setLevel},
@@ -136,6 +138,13 @@
 	return ok && err == nil && n >= 1 && n <= 1000000
 }
 
+func setMemory(node ast.Node, s *Settings) bool {
+	value, ok := scalar(node)
+	n, err := strconv.ParseInt(value, 10, 64)
+	s.Memory = n
+	return ok && err == nil && n >= 1 && n <= 1<<20
+}
+
 func setShare(node ast.Node, s *Settings) bool {
 	value, ok := scalar(node)
 	share, err := strconv.ParseFloat(value, 64)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -20,6 +20,7 @@
 	Listen   Listen
 	Platform string // base URL of the platform's service
 	Status   string // path of a backend server's status resource; may be empty
+	Memory   int64  // memory of the entry, in megabytes; limits of clients follow from it
 	Limits   Limits
 	Log      Log
 	Goals    Goals
@@ -61,6 +62,7 @@
 
 // Defaults of optional settings.
 const (
+	defaultMemory = 320
 	defaultDrain  = 30 * time.Second
 	defaultNotice = 1500 * time.Millisecond
 	defaultWait   = 5 * time.Millisecond
@@ -70,6 +72,7 @@
 // Default returns the settings that apply where a file does not set a key.
 func Default() Settings {
 	return Settings{
+		Memory: defaultMemory,
 		Limits: Limits{Drain: defaultDrain, Notice: defaultNotice},
 		Log:    Log{Level: logrus.InfoLevel, Format: formatJSON},
 		Goals:  Goals{Wait: defaultWait, Share: defaultShare},
@@ -104,6 +107,7 @@
 		{"listen", s.Listen == other.Listen},
 		{"platform", s.Platform == other.Platform},
 		{"servers.status", s.Status == other.Status},
+		{"memory", s.Memory == other.Memory},
 	} {
 		if !c.same {
 			names = append(names, c.name)
