--- a/internal/linker/codec.go
+++ b/internal/framer/framer.go
@@ -1,4 +1,5 @@
-package linker
+// Package framer writes and reads the messages between entries within the limits of memory.
+package framer
 
 import (
 	"bufio"
@@ -25,21 +26,21 @@
 	Release()
 }
 
-// codec writes and reads messages with their length in front, as jsonrpc2.VarintObjectCodec does, within the
-// limits of memory.
-type codec struct {
+// Codec writes and reads messages with their length in front, as jsonrpc2.VarintObjectCodec does. Create it
+// with New.
+type Codec struct {
 	jsonrpc2.VarintObjectCodec
 	meter Meter // nil for a connection that this entry has opened
 }
 
-// newCodec returns the codec for a connection.
-func newCodec(conn net.Conn) codec {
+// New returns the codec for a connection. Bytes are counted if the connection is a Meter.
+func New(conn net.Conn) Codec {
 	meter, _ := conn.(Meter)
-	return codec{meter: meter}
+	return Codec{meter: meter}
 }
 
 // ReadObject reads a message.
-func (c codec) ReadObject(stream *bufio.Reader, v any) error {
+func (c Codec) ReadObject(stream *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -61,7 +62,7 @@
 }
 
 // metered returns a reader that counts what it reads.
-func (c codec) metered(r io.Reader) io.Reader {
+func (c Codec) metered(r io.Reader) io.Reader {
 	if c.meter == nil {
 		return r
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivelock/endivelock/internal/framer"
 	"github.com/endivelock/endivelock/internal/listener"
 	"github.com/endivelock/endivelock/internal/scheduler"
 )
@@ -107,7 +108,7 @@
 
 func (g *Gossiper) newStream(conn net.Conn) jsonrpc2.ObjectStream {
 	counted := &countingConn{Conn: conn, bytes: &g.bytes}
-	return jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(counted, framer.New(conn))
 }
 
 func (g *Gossiper) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -22,6 +22,7 @@
 
 	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/commands/delegator"
+	"github.com/endivelock/endivelock/internal/framer"
 	"github.com/endivelock/endivelock/internal/keeper"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -172,7 +173,7 @@
 // connect starts the protocol on a connection. Each request is handled in a
 // goroutine of its own.
 func (l *Linker) connect(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, newCodec(conn))
+	stream := jsonrpc2.NewBufferedStream(conn, framer.New(conn))
 	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.handle)))
 }
 
--- a/internal/resister/serve_test.go
+++ b/internal/resister/serve_test.go
@@ -241,6 +241,17 @@
 	return append(headKinds(operatorHead), bodyKinds(operatorHead, list(maxList))...)
 }
 
+// peerKinds returns messages of peers, a length and its content: 1 MB but for the last byte, and one whose
+// length has no end.
+func peerKinds() []kind {
+	message := append([]byte{0x80, 0x80, 0x40}, bytes.Repeat([]byte(" "), 1<<20-1)...)
+	endless := bytes.Repeat([]byte{0x80}, maxServeHead)
+	return []kind{
+		{"messages without end", crowd, pieces, func(int) []byte { return message }},
+		{"lengths without end", crowd, pieces, func(int) []byte { return endless }},
+	}
+}
+
 func TestServeBearsCrowdsOfCallers(t *testing.T) {
 	for _, k := range callerKinds() {
 		t.Run(k.name, func(t *testing.T) {
@@ -259,6 +270,7 @@
 	}{
 		{"forward", func(s *server) string { return s.forward }, mix(forwardKinds())},
 		{"operators", func(s *server) string { return s.operators }, mix(operatorKinds())},
+		{"peers", func(s *server) string { return s.peers }, mix(peerKinds())},
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			s := startServer(t)
