--- a/internal/commands/editor/check.go
+++ b/internal/commands/editor/check.go
@@ -24,7 +24,7 @@
 
 func checkPlans(plans []scheduler.Plan) error {
 	if len(plans) > maxRows {
-		return fmt.Errorf("list of plans has %d rows, allowed are %d", len(plans), maxRows)
+		return fmt.Errorf("list of plans has more than %d rows", maxRows)
 	}
 	seen := map[string]bool{}
 	for i, p := range plans {
@@ -44,7 +44,7 @@
 
 func checkAllowances(allowances []scheduler.Allowance) error {
 	if len(allowances) > maxRows {
-		return fmt.Errorf("list of allowances has %d rows, allowed are %d", len(allowances), maxRows)
+		return fmt.Errorf("list of allowances has more than %d rows", maxRows)
 	}
 	seen := map[string]bool{}
 	for i, a := range allowances {
--- a/internal/commands/editor/editor.go
+++ b/internal/commands/editor/editor.go
@@ -36,8 +36,8 @@
 
 func (e *Editor) putPlans(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Version int64            `json:"version"` // sent back as it was read; If-Match decides
-		Plans   []scheduler.Plan `json:"plans"`
+		Version int64                `json:"version"` // sent back as it was read; If-Match decides
+		Plans   rows[scheduler.Plan] `json:"plans"`
 	}
 	if !responder.DecodeBody(w, r, maxBodyBytes, &body) {
 		return
@@ -51,8 +51,8 @@
 
 func (e *Editor) putAllowances(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Version    int64                 `json:"version"` // sent back as it was read; If-Match decides
-		Allowances []scheduler.Allowance `json:"allowances"`
+		Version    int64                     `json:"version"` // sent back as it was read; If-Match decides
+		Allowances rows[scheduler.Allowance] `json:"allowances"`
 	}
 	if !responder.DecodeBody(w, r, maxBodyBytes, &body) {
 		return
--- a/internal/resister/serve_test.go
+++ b/internal/resister/serve_test.go
@@ -280,6 +280,27 @@
 	}
 }
 
+// Many lists of as many rows as a body holds: more than a list may have.
+func TestServeBearsListsOfManyRows(t *testing.T) {
+	s := startServer(t)
+	body := `{"plans":[` + strings.Repeat("{},", (maxList-100)/3) + `{}]}`
+	rows := []byte(operatorHead(fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
+	stall(t, s.operators, crowd, 1, func(int) []byte { return rows })
+	s.check(t)
+}
+
+// All kinds at all listeners at once.
+func TestServeBearsAllKindsAtOnce(t *testing.T) {
+	s := startServer(t)
+	for address, k := range map[string]kind{
+		s.callers: mix(callerKinds()), s.operators: mix(operatorKinds()), s.peers: mix(peerKinds()),
+		s.forward: mix(forwardKinds()),
+	} {
+		stall(t, address, k.count, k.parts, k.request)
+	}
+	s.check(t)
+}
+
 // A single request at the largest legal size is served, also in pieces and in small chunks.
 func TestServeServesTheLargestLegalRequest(t *testing.T) {
 	s := startServer(t)
