--- a/internal/commands/admitter/admitter_test.go
+++ b/internal/commands/admitter/admitter_test.go
@@ -1,10 +1,12 @@
 package admitter_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -190,6 +192,23 @@
 	assert.Equal(t, p.controller.awaitEnded(t), scheduler.ExchangeComplete)
 }
 
+// A caller whose body stalls got no answer: the response waited for the read of the body.
+func TestACallerWhoseBodyStallsIsAnsweredAtItsDeadline(t *testing.T) {
+	p := newProxy(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	conn, err := net.Dial("tcp", p.entry.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+messenger.HeaderPlan+": p\r\nPrefer: wait=0.1\r\nContent-Length: 2\r\n\r\nx")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	problem := problemOf(t, response)
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Equal(t, problem.Outcome, "unknown")
+	assert.Equal(t, p.controller.awaitEnded(t), scheduler.ExchangeBroken)
+}
+
 func TestInvalidRequestHeaders(t *testing.T) {
 	p := newProxy(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was reached") })
 	cases := []struct {
--- a/internal/commands/admitter/exchange.go
+++ b/internal/commands/admitter/exchange.go
@@ -37,12 +37,17 @@
 	waited := time.Since(f.arrived)
 	f.w.Header().Set(headerTiming, formatTiming(waited))
 	ctx, cancel := exchangeContext(d.Until)
+	if d.Until.Before(f.request.Deadline) {
+		// The transport waits for a read of the body that is in progress, also after the end of the context.
+		f.readUntil(d.Until)
+	}
 	results := f.send(f.outgoing(ctx, d.Address))
 	select {
 	case r := <-results:
 		return f.relayFromServer(r, waited, cancel)
 	case <-f.r.Context().Done():
 	case <-time.After(time.Until(f.request.Deadline)):
+		f.readUntil(time.Now())
 		f.writeProblem(*f.problem(http.StatusGatewayTimeout, "answer-timeout", "no answer before the deadline"), 0)
 	}
 	f.observePlaced(waited)
@@ -136,6 +141,7 @@
 	case scheduler.ExchangeUnused:
 		f.writeProblem(*f.refusal(scheduler.ReasonServerUnreachable), time.Second)
 	default:
+		f.readUntil(time.Now())
 		f.count("unknown")
 		f.admitter.Logger.WithField("work", f.request.ID).WithError(err).Info("exchange with server failed")
 		f.writeProblem(*f.problem(http.StatusBadGateway, "answer-lost", "the server gave no whole answer"), 0)
@@ -185,6 +191,7 @@
 		f.reportForwardEnded(to, true)
 		return false
 	}
+	f.readUntil(time.Now())
 	f.reportForwardEnded(to, false)
 	f.count("unknown")
 	f.admitter.Logger.WithFields(map[string]any{"work": f.request.ID, "peer": to.Name}).WithError(err).Info("exchange with entry failed")
@@ -314,7 +321,8 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// readUntil sets the time until which the request's body is read. The limiter ends the deadline with the body.
+// readUntil sets the time until which the request's body is read. The response waits for a read that is in
+// progress. The limiter ends the deadline with the body.
 func (f *inflight) readUntil(t time.Time) {
 	if f.r.ContentLength != 0 && !f.body.ended.Load() {
 		_ = http.NewResponseController(f.w).SetReadDeadline(t)
--- a/internal/resister/serve_test.go
+++ b/internal/resister/serve_test.go
@@ -289,6 +289,20 @@
 	s.check(t)
 }
 
+// Bodies that stalled held their slots for as long as their connections stayed open, beyond limits.request.
+func TestServeFreesTheSlotsOfBodiesThatStall(t *testing.T) {
+	s := startServer(t, "limits: {request: 3s}")
+	body := []byte(callerHead("Prefer: wait=600\r\nContent-Length: 1000\r\n\r\nx"))
+	stall(t, s.callers, 2*crowd, 1, func(int) []byte { return body }) // more than there are slots, fewer than connections
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, err := s.ordinary(s.callers); err != nil || status != http.StatusOK {
+			return poll.Continue("an ordinary request is answered with %d, %v", status, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startTimeout))
+	s.check(t)
+}
+
 // All kinds at all listeners at once.
 func TestServeBearsAllKindsAtOnce(t *testing.T) {
 	s := startServer(t)
