--- a/internal/encoder/progress.go
+++ b/internal/encoder/progress.go
@@ -77,7 +77,7 @@
 			b = strconv.AppendInt(b, int64(n.value), 10)
 		}
 	}
-	if t.Failed {
+	if t.LastRunFailed {
 		name(`"x":true`)
 	}
 	if t.Worker != "" && t.Phase != ledger.Done {
--- a/internal/encoder/progress_test.go
+++ b/internal/encoder/progress_test.go
@@ -16,8 +16,8 @@
 	task := rapid.Custom(func(t *rapid.T) ledger.Task {
 		return ledger.Task{
 			Phase: ledger.Phase(rapid.IntRange(0, 2).Draw(t, "phase")), Run: rapid.IntRange(0, 30).Draw(t, "run"), Failures: rapid.IntRange(0, 3).Draw(t, "failures"),
-			Failed: rapid.Bool().Draw(t, "failed"),
-			Worker: rapid.SampledFrom([]string{"", "i-5f519ce5f9", `odd "name"`}).Draw(t, "worker"), Checkpoint: rapid.SampledFrom([]string{"", "0000a1"}).Draw(t, "checkpoint"),
+			LastRunFailed: rapid.Bool().Draw(t, "failed"),
+			Worker:        rapid.SampledFrom([]string{"", "i-5f519ce5f9", `odd "name"`}).Draw(t, "worker"), Checkpoint: rapid.SampledFrom([]string{"", "0000a1"}).Draw(t, "checkpoint"),
 		}
 	})
 	round := rapid.Custom(func(t *rapid.T) ledger.Round {
@@ -97,7 +97,7 @@
 func TestTheProgressOfTheLargestGangFitsIntoARecord(t *testing.T) {
 	tasks := make([]ledger.Task, ledger.MaxTasks)
 	for i := range tasks {
-		tasks[i] = ledger.Task{Run: 12, Failed: true, Worker: "i-5f519ce5f95f519ce5", Checkpoint: "0123456789abcdef"}
+		tasks[i] = ledger.Task{Run: 12, LastRunFailed: true, Worker: "i-5f519ce5f95f519ce5", Checkpoint: "0123456789abcdef"}
 	}
 	tasks[0].Failures = 12
 	p := ledger.Progress{State: ledger.Running, Rounds: []ledger.Round{{Tasks: [][]ledger.Task{tasks}}}}
--- a/internal/leader/gang_failures_test.go
+++ b/internal/leader/gang_failures_test.go
@@ -289,6 +289,15 @@
 	assert.Equal(t, len(h.running), 3, "the gang runs again")
 }
 
+// Guards against an earlier version's surplus that becomes true by runs which do not fail.
+func TestAnEarlierCountIsNotMadeTrueByRunsThatDidNotFail(t *testing.T) {
+	h := inherit(t, 3, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1, Failures: 1}, ledger.Task{Run: 1})
+	h.endGang(2)
+	h.endGang(3, 0)
+	assert.Equal(t, h.lastFailures(), 2)
+	assert.Assert(t, !h.records["j"].State.Final(), "the job is %s after 2 failed runs of 3", h.records["j"].State)
+}
+
 // The same for a task without a gang, near whose data only the worker has room where it failed.
 func TestATaskThatFailedAvoidsItsLastWorker(t *testing.T) {
 	policy := leader.Policy{Lease: testLease, MaxStaleRenewal: 5 * time.Second}
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -34,7 +34,7 @@
 	}
 	job := ActiveJob{Job: e.Job, ObjectiveEnd: objectiveEnd(e.Job, e.Job.Accepted), Standing: t.charge(e.Job)}
 	if e.Progress != nil {
-		job.Progress = *e.Progress
+		job.Progress = e.Progress.WithoutSurplus(e.Job)
 	} else {
 		job.Progress = ledger.NewProgress(e.Job)
 	}
@@ -280,7 +280,7 @@
 	case task.Run != e.Run || task.Phase != ledger.Started:
 		// The end of a run other than the task's current one changes nothing.
 	case e.Kind == EndFailed && !step.LongRunning:
-		t.failTask(job, id, task.WithCheckpoint(e.Checkpoint))
+		t.failTask(job, id, e.Checkpoint)
 	default:
 		task = task.WithPhase(ledger.Idle).WithCheckpoint(e.Checkpoint)
 		t.setJob(job.WithProgress(job.Progress.WithTask(id, task).WithBegan()))
@@ -346,14 +346,14 @@
 
 // failTask counts the failed run of a task. The job fails once a task or a gang has failed as
 // often as its queue allows.
-func (t *transition) failTask(job ActiveJob, id ledger.TaskID, task ledger.Task) {
-	job = job.WithProgress(job.Progress.WithTask(id, task).WithFailure(job.Job, id).WithBegan())
+func (t *transition) failTask(job ActiveJob, id ledger.TaskID, checkpoint string) {
+	job = job.WithProgress(job.Progress.WithFailure(job.Job, id, checkpoint).WithBegan())
 	t.setJob(job)
 	attempts := job.Job.Queue.Attempts
 	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
-	failures := job.Progress.Failures(job.Job, id)
+	task, failures := job.Progress.Task(id.Round, id.Step, id.Index), job.Progress.Failures(job.Job, id)
 	t.emit(Decision{What: "fail", Job: id.Job, Task: id.String(), Run: task.Run, Worker: task.Worker, Failures: failures, Attempts: attempts})
 	if failures >= attempts && !job.Progress.State.Final() {
 		t.finishJob(job, ledger.Failed, "task "+id.String()+" has failed too often")
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -32,17 +32,17 @@
 
 // Task is the last run of one task. The zero value has not run.
 type Task struct {
-	Phase      Phase  `json:"p,omitempty"`
-	Run        int    `json:"r,omitempty"` // number of the last run, from 1
-	Failures   int    `json:"f,omitempty"` // number of failed runs; those of a gang are counted at one of its tasks each
-	Failed     bool   `json:"x,omitempty"` // the last run has failed; set for tasks of gangs only
-	Worker     string `json:"w,omitempty"` // worker of the last run
-	Checkpoint string `json:"s,omitempty"` // last known checkpoint
+	Phase         Phase  `json:"p,omitempty"`
+	Run           int    `json:"r,omitempty"` // number of the last run, from 1
+	Failures      int    `json:"f,omitempty"` // number of failed runs; each failed run of a gang is counted at one of its tasks
+	LastRunFailed bool   `json:"x,omitempty"` // set for tasks of gangs only
+	Worker        string `json:"w,omitempty"` // worker of the last run
+	Checkpoint    string `json:"s,omitempty"` // last known checkpoint
 }
 
 // WithRun returns the task with its next run started at a worker.
 func (t Task) WithRun(run int, worker string) Task {
-	t.Phase, t.Run, t.Worker, t.Failed = Started, run, worker, false
+	t.Phase, t.Run, t.Worker, t.LastRunFailed = Started, run, worker, false
 	return t
 }
 
@@ -53,7 +53,7 @@
 }
 
 // HasFailed reports whether a run of the task is known to have failed.
-func (t Task) HasFailed() bool { return t.Failures > 0 || t.Failed }
+func (t Task) HasFailed() bool { return t.Failures > 0 || t.LastRunFailed }
 
 // WithCheckpoint returns the task with a checkpoint. An empty checkpoint is ignored.
 func (t Task) WithCheckpoint(saved string) Task {
@@ -166,26 +166,27 @@
 	return p
 }
 
-// WithFailure returns the progress after the current run of a task has failed. A run of a gang
-// fails once, however many of its tasks do.
-func (p Progress) WithFailure(j Job, id TaskID) Progress {
-	t := p.Task(id.Round, id.Step, id.Index)
+// WithFailure returns the progress after the current run of a task has failed, with the task's
+// checkpoint. A run of a gang fails once, however many of its tasks do.
+func (p Progress) WithFailure(j Job, id TaskID, checkpoint string) Progress {
+	t := p.Task(id.Round, id.Step, id.Index).WithCheckpoint(checkpoint)
 	t.Phase = Idle
 	if !j.Steps[id.Step].Gang {
 		t.Failures++
 		return p.WithTask(id, t)
 	}
+	// A failure that an earlier version has counted for this run is not marked.
 	if !p.gangHasFailed(id, t.Run) && p.Failures(j, id) < t.Run {
 		t.Failures++
 	}
-	t.Failed = true
+	t.LastRunFailed = true
 	return p.WithTask(id, t)
 }
 
-// gangHasFailed reports whether a run of a task's gang is counted as failed.
+// gangHasFailed reports whether a run of a task's gang is marked as failed.
 func (p Progress) gangHasFailed(id TaskID, run int) bool {
 	for _, t := range p.Step(id.Round, id.Step) {
-		if t.Failed && t.Run == run {
+		if t.LastRunFailed && t.Run == run {
 			return true
 		}
 	}
@@ -194,15 +195,41 @@
 
 // Failures returns the number of failed runs of a task, or of its gang.
 func (p Progress) Failures(j Job, id TaskID) int {
-	t := p.Task(id.Round, id.Step, id.Index)
 	if !j.Steps[id.Step].Gang {
-		return t.Failures
+		return p.Task(id.Round, id.Step, id.Index).Failures
 	}
 	failures := 0
 	for _, member := range p.Step(id.Round, id.Step) {
 		failures += member.Failures
 	}
-	return min(failures, t.Run) // earlier versions counted a run for each task that failed
+	return failures
+}
+
+// WithoutSurplus returns the progress with no more failures of a gang than it has had runs. Earlier
+// versions counted a run once for each task that failed in it.
+func (p Progress) WithoutSurplus(j Job) Progress {
+	for round, r := range p.Rounds {
+		for step, tasks := range r.Tasks {
+			if !j.Steps[step].Gang {
+				continue
+			}
+			id := TaskID{Job: j.ID, Round: round, Step: step}
+			runs := 0
+			for _, t := range tasks {
+				runs = max(runs, t.Run)
+			}
+			surplus := p.Failures(j, id) - runs
+			for index, t := range tasks {
+				if n := min(surplus, t.Failures); n > 0 {
+					id.Index = index
+					t.Failures -= n
+					surplus -= n
+					p = p.WithTask(id, t)
+				}
+			}
+		}
+	}
+	return p
 }
 
 // WithRoundDone returns the progress with a round done and its tasks dropped.
--- a/internal/ledger/progress_test.go
+++ b/internal/ledger/progress_test.go
@@ -26,7 +26,7 @@
 	}
 	for i, id := range ids {
 		assert.Equal(t, p.Failures(j, id), i%members, "before %v fails", id)
-		p = p.WithFailure(j, id)
+		p = p.WithFailure(j, id, "")
 		assert.Equal(t, p.Failures(j, id), 1, "after %v has failed", id)
 	}
 }
