--- a/internal/resister/crowd_test.go
+++ b/internal/resister/crowd_test.go
@@ -31,6 +31,13 @@
 // stall opens connections to an address and sends each its request in parts, then leaves
 // them open until the test ends. A connection that the entry closes stays closed.
 func stall(t *testing.T, address string, count, parts int, request func(i int) []byte) {
+	t.Helper()
+	rush(t, address, count, parts, request)
+	time.Sleep(settleTime)
+}
+
+// rush is stall without the time to settle. It returns the connections.
+func rush(t *testing.T, address string, count, parts int, request func(i int) []byte) []net.Conn {
 	t.Helper()
 	conns := make([]net.Conn, count)
 	requests := make([][]byte, count)
@@ -53,7 +60,7 @@
 		}
 		_ = writers.Wait()
 	}
-	time.Sleep(settleTime)
+	return conns
 }
 
 // job returns a legal job of a size, filled up with blanks.
