--- a/internal/resister/kinds_test.go
+++ b/internal/resister/kinds_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // pipelined is the number of requests that a connection sends without reading an answer, manyPipelined that of
@@ -109,6 +112,32 @@
 	e.check(t)
 }
 
+// Guards against one metric for each method that a client makes up.
+func TestMethodsThatDoNotExist(t *testing.T) {
+	e := startEntry(t)
+	conns := rush(t, e.callers, crowd, 1, func(i int) []byte {
+		requests := repeat(manyPipelined, func(k int) string {
+			return fmt.Sprintf("M%dX%d /q/%016x HTTP/1.1\r\nHost: h.example\r\n\r\n", i, k, k)
+		})
+		return append(requests, "GET /q/ HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n"...)
+	})
+	readAll(conns)
+	e.check(t)
+}
+
+// readAll reads until the entry has closed the connections.
+func readAll(conns []net.Conn) {
+	var readers errgroup.Group
+	for _, conn := range conns {
+		readers.Go(func() error {
+			_ = conn.SetReadDeadline(time.Now().Add(ordinaryTimeout))
+			_, _ = io.Copy(io.Discard, conn)
+			return nil
+		})
+	}
+	_ = readers.Wait()
+}
+
 func TestAnswersThatNobodyReads(t *testing.T) {
 	e := startEntry(t)
 	stall(t, e.callers, crowd, 1, func(i int) []byte {
