--- a/internal/keeper/leases_test.go
+++ b/internal/keeper/leases_test.go
@@ -19,7 +19,7 @@
 	})
 	e.apply(keeper.Ticked{})
 	j := ledger.Job{ID: "j", Steps: []ledger.Step{{Count: 1}}}
-	p := ledger.NewProgress(j).WithRoundBegun(j, 0).WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
+	p := ledger.NewProgress(j).WithRoundsBegun(j, 0).WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
 	e.apply(keeper.JobsRead{Changes: []keeper.JobChange{{ID: "j", Job: &j, Offset: 100}}, Next: 101, Snapshot: true})
 	e.runs(append(changes, keeper.RunChange{ID: "j", Progress: &p})...)
 	return e
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -102,6 +102,7 @@
 	}
 	t.dueRounds = t.dueRounds.Without(string(id))
 	room := job.Job.MaxRoundsInProgress()
+	var due []int
 	for round, r := range job.Progress.Rounds {
 		if r.Done {
 			continue
@@ -114,9 +115,12 @@
 			t.dueRounds = t.dueRounds.With(string(id), at.UnixMilli())
 			break
 		}
-		job = job.WithProgress(job.Progress.WithRoundBegun(job.Job, round))
+		due = append(due, round)
 		room--
 	}
+	if len(due) > 0 {
+		job = job.WithProgress(job.Progress.WithRoundsBegun(job.Job, due...))
+	}
 	t.active.set(string(id), job)
 }
 
@@ -127,6 +131,7 @@
 	if !ok {
 		return
 	}
+	var paths []time.Duration // from each step on, computed once one is needed
 	for round, r := range job.Progress.Rounds {
 		if r.Tasks == nil {
 			continue
@@ -141,7 +146,10 @@
 			if !t.readySince.Has(key) {
 				t.readySince = t.readySince.With(key, t.now)
 			}
-			score := t.urgency(job, round, step)
+			if paths == nil {
+				paths = job.Job.CriticalPaths()
+			}
+			score := t.urgencyAhead(job, round, step, paths[step])
 			if t.rankParked(key, score) {
 				continue
 			}
@@ -197,11 +205,16 @@
 // time at which it may start; behind all of them those beyond the share of their workspace,
 // by priority and turn.
 func (t *transition) urgency(job ActiveJob, round, step int) int64 {
+	return t.urgencyAhead(job, round, step, job.Job.CriticalPathFrom(step))
+}
+
+// urgencyAhead is urgency for a step with a critical path from it on.
+func (t *transition) urgencyAhead(job ActiveJob, round, step int, path time.Duration) int64 {
 	end := job.ObjectiveEnd
 	if at := job.Job.Due(round); !at.IsZero() {
 		end = objectiveEnd(job.Job, at)
 	}
-	latest := end.Add(-job.Job.CriticalPathFrom(step))
+	latest := end.Add(-path)
 	score := int64(job.Job.Queue.Priority) * priorityWeight
 	if job.Job.Steps[step].LongRunning {
 		return score + latest.UnixMilli()
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -49,12 +49,14 @@
 // those of the same priority that can.
 func (t *transition) demoteLate() {
 	var late []ledger.ID
+	seen := map[ledger.ID]bool{}
 	for priority := range int64(maxPriority + 1) {
 		for key, score := range t.waiting.From(priority * priorityWeight) {
 			if score >= priority*priorityWeight+min(t.now.Add(t.lateMargin()).UnixMilli(), latePenalty) {
 				break
 			}
-			if id, err := ledger.ParseTaskID(key + ".0"); err == nil {
+			if id, err := ledger.ParseTaskID(key + ".0"); err == nil && !seen[id.Job] {
+				seen[id.Job] = true
 				late = append(late, id.Job)
 			}
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -267,6 +267,9 @@
 	return j.chains(step)[step]
 }
 
+// CriticalPaths returns CriticalPathFrom of all steps.
+func (j Job) CriticalPaths() []time.Duration { return j.chains(0) }
+
 // chains returns the longest chain that begins with each step from one on.
 func (j Job) chains(first int) []time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -37,7 +37,7 @@
 // they are called on.
 func TestProgress(t *testing.T) {
 	j := job()
-	before := ledger.NewProgress(j).WithRoundBegun(j, 0)
+	before := ledger.NewProgress(j).WithRoundsBegun(j, 0)
 	after := before.WithTask(ledger.TaskID{Job: "j", Index: 1}, ledger.Task{}.WithRun(3, "w").WithCheckpoint("c"))
 	assert.Equal(t, before.Task(0, 0, 1), ledger.Task{})
 	assert.Assert(t, after.Begun() && !before.Begun())
--- a/internal/ledger/progress.go
+++ b/internal/ledger/progress.go
@@ -144,14 +144,16 @@
 	return t.Step < len(tasks) && t.Index < len(tasks[t.Step])
 }
 
-// WithRoundBegun returns the progress with a round begun and its tasks idle.
-func (p Progress) WithRoundBegun(j Job, round int) Progress {
-	tasks := make([][]Task, len(j.Steps))
-	for i, s := range j.Steps {
-		tasks[i] = make([]Task, s.Count)
-	}
+// WithRoundsBegun returns the progress with rounds begun and their tasks idle.
+func (p Progress) WithRoundsBegun(j Job, rounds ...int) Progress {
 	p.Rounds = slices.Clone(p.Rounds)
-	p.Rounds[round].Tasks = tasks
+	for _, round := range rounds {
+		tasks := make([][]Task, len(j.Steps))
+		for i, s := range j.Steps {
+			tasks[i] = make([]Task, s.Count)
+		}
+		p.Rounds[round].Tasks = tasks
+	}
 	return p
 }
 
--- a/internal/ledger/validate_test.go
+++ b/internal/ledger/validate_test.go
@@ -48,7 +48,7 @@
 
 func TestProgressOfAnotherJobIsInvalid(t *testing.T) {
 	job := ledger.Job{Steps: []ledger.Step{{Count: 2}, {Count: 1}}}
-	begun := ledger.NewProgress(job).WithRoundBegun(job, 0)
+	begun := ledger.NewProgress(job).WithRoundsBegun(job, 0)
 	assert.NilError(t, begun.Validate(job))
 	assert.NilError(t, begun.WithState(ledger.Complete).WithoutTasks().Validate(job))
 	assert.ErrorContains(t, begun.Validate(ledger.Job{Steps: job.Steps[:1]}), "has 2 steps")
