--- a/internal/commands/acceptor/acceptor.go
+++ b/internal/commands/acceptor/acceptor.go
@@ -34,24 +34,26 @@
 	Add(ctx context.Context, v replicator.Value) error
 }
 
-// Submitter hands jobs that count against a workspace to the leader.
+// Submitter hands jobs to the leader.
 type Submitter interface {
-	// Submit is Journal.Add. The leader may turn the job away with an error of kind
-	// classifier.BeyondShare.
+	// Submit is Journal.Add. The leader may turn the job away as a Gate does.
 	Submit(ctx context.Context, v replicator.Value, c ledger.Claim) error
 }
 
 // Gate decides whether this entry takes in a job while it leads.
 type Gate interface {
-	// Admit returns an error of kind classifier.BeyondShare if the job is turned away.
+	// Admit returns an error if the job is turned away: of kind classifier.BeyondShare or with the cause
+	// classifier.ErrCongested.
 	Admit(id ledger.ID, c ledger.Claim) error
+	// Withdraw takes back an admission after which nothing was written.
+	Withdraw(id ledger.ID)
 }
 
 // Acceptor writes jobs and cancellations.
 type Acceptor struct {
 	Leader    Journal   // journal of the leader, over the link to it
 	Own       Journal   // journal of this entry
-	Submitter Submitter // the leader, for jobs that count against a workspace; nil for Leader
+	Submitter Submitter // the leader, for jobs; nil for Leader
 	Gate      Gate      // nil admits all
 	Logger    logrus.FieldLogger
 }
@@ -63,13 +65,10 @@
 	if err != nil {
 		return &classifier.Error{Kind: classifier.Refused, Call: "accept", Cause: err}
 	}
-	if j.Workspace == "" {
-		return a.write(ctx, v, j.ID, "accept", a.Leader, a.Own)
-	}
 	return a.write(ctx, v, j.ID, "accept", a.charged(j)...)
 }
 
-// charged returns the journals for a job that counts against a workspace.
+// charged returns the journals for a job, which counts against its workspace and the memory.
 func (a *Acceptor) charged(j ledger.Job) []Journal {
 	lead, own := a.Leader, a.Own
 	if a.Submitter != nil {
@@ -109,7 +108,11 @@
 	if err := g.gate.Admit(g.id, g.claim); err != nil {
 		return err
 	}
-	return g.Journal.Add(ctx, v)
+	err := g.Journal.Add(ctx, v)
+	if classifier.NotExecuted(err) {
+		g.gate.Withdraw(g.id)
+	}
+	return err
 }
 
 // Cancel writes the cancellation of a job, with the errors of Accept.
--- a/internal/commands/acceptor/acceptor_test.go
+++ b/internal/commands/acceptor/acceptor_test.go
@@ -102,6 +102,8 @@
 
 func (g gate) Admit(ledger.ID, ledger.Claim) error { return g.err }
 
+func (gate) Withdraw(ledger.ID) {}
+
 // submitter hands the claims of jobs to a journal.
 type submitter struct {
 	*journal
@@ -143,7 +145,7 @@
 				assert.Equal(t, classifier.KindOf(err), c.kind)
 			}
 			assert.Equal(t, own.calls, c.ownCalls)
-			assert.Equal(t, lead.claim, ledger.Claim{Workspace: "w", Chain: time.Second, Limit: 6 * time.Second})
+			assert.Equal(t, lead.claim, ledger.Claim{Workspace: "w", Chain: time.Second, Limit: 6 * time.Second, Weight: job.Weight()})
 		})
 	}
 }
--- a/internal/commands/gatekeeper/gatekeeper_test.go
+++ b/internal/commands/gatekeeper/gatekeeper_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
@@ -72,3 +73,53 @@
 	e.apply(keeper.Deposed{Why: "test"})
 	assert.NilError(t, admit("new"), "who doesn't lead refuses nothing")
 }
+
+// Guards against accepted jobs that take up all memory. A job that may be in the log is not refused for it, and
+// jobs of one weight leave room for lighter ones.
+func TestJobsTakeUpAPartOfTheMemory(t *testing.T) {
+	e := newLeader(t)
+	logger, _ := test.NewNullLogger()
+	g := gatekeeper.New(e, func() time.Time { return e.now }, logger)
+	g.Memory = 8 << 20
+	admit := func(id string, weight int64) error { return g.Admit(ledger.ID(id), ledger.Claim{Weight: weight}) }
+	assert.NilError(t, admit("huge", 4<<20), "a single job is admitted")
+	g.Withdraw("huge")
+	fill := func(name string, weight int64) int {
+		for i := range 10_000 {
+			if err := admit(fmt.Sprint(name, i), weight); err != nil {
+				assert.Assert(t, classifier.Is(err, classifier.Busy) && errors.Is(err, classifier.ErrCongested), "%v", err)
+				return i
+			}
+		}
+		return -1
+	}
+	assert.Equal(t, fill("large", 256<<10), 4)
+	light := fill("light", 8<<10)
+	assert.Assert(t, light > 100, "%d", light)
+	assert.NilError(t, admit("ordinary", 1<<10))
+	assert.NilError(t, admit("large0", 256<<10), "its append may be under way")
+	for range 2 { // both attempts wrote nothing
+		assert.Assert(t, admit("large4", 256<<10) != nil)
+		g.Withdraw("large0")
+	}
+	again := fill("again", 8<<10)
+	assert.Assert(t, again > 20, "%d", again)
+	e.now = e.now.Add(time.Minute)
+	assert.Equal(t, fill("later", 256<<10), 4)
+}
+
+// A job counts as long as it has not ended, and once.
+func TestAcceptedJobsCountOnce(t *testing.T) {
+	e := newLeader(t)
+	logger, _ := test.NewNullLogger()
+	g := gatekeeper.New(e, func() time.Time { return e.now }, logger)
+	g.Memory = 1 << 20
+	weight := e.job("f0").Weight()
+	for i := range 20 {
+		assert.NilError(t, g.Admit(ledger.ID(fmt.Sprintf("f%d", i)), ledger.Claim{Weight: weight}))
+	}
+	e.flood(0, 20)
+	assert.Equal(t, e.state.Weight(), 20*weight)
+	e.apply(keeper.JobsRead{Changes: []keeper.JobChange{{ID: "f0", Dropped: true, Offset: 100}}, Next: 101})
+	assert.Equal(t, e.state.Weight(), 19*weight)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -177,6 +177,7 @@
 	e.linker.OnAnnounced = func(values []replicator.Value) { e.submitJobs(values, false) }
 	e.relayer.Relay = e.linker
 	gate := gatekeeper.New(e.controller, time.Now, logger)
+	gate.Memory = s.Memory << 20
 	e.linker.Gate = gate
 	e.Acceptor = &acceptor.Acceptor{Own: e.journal, Leader: e.linker, Submitter: e.linker, Gate: gate, Logger: logger}
 	e.Inspector = &inspector.Inspector{Viewer: e.controller, Leader: e.linker, Replica: e}
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -83,7 +83,7 @@
 		}
 	case c.Job == nil || t.jobs.Has(id):
 	default:
-		t.jobs = t.jobs.With(id, *c.Job)
+		t.jobs, t.weight = t.jobs.With(id, *c.Job), t.weight+c.Job.Weight()
 		if t.role == Leading {
 			t.accept(*c.Job) // an earlier leader may have read it before and begun it
 		}
--- a/internal/keeper/copies.go
+++ b/internal/keeper/copies.go
@@ -99,18 +99,26 @@
 	c = c.Without(change)
 	t.setCopies(id, c)
 	if !c.job() {
-		t.jobs = t.jobs.Without(id)
+		t.dropJob(id)
 	}
 	if !c.cancel() {
 		t.cancels = t.cancels.Without(id)
 	}
 }
 
+// dropJob drops a job, but not its progress.
+func (t *transition) dropJob(id string) {
+	if j, ok := t.jobs.Get(id); ok {
+		t.jobs, t.weight = t.jobs.Without(id), t.weight-j.Weight()
+	}
+}
+
 // discardJob drops an ended job from each stream that it was written to. Its end stays in
 // the log until that is done, since whoever finds the job without it would run it.
 func (t *transition) discardJob(id ledger.ID) {
 	key := string(id)
-	t.jobs, t.cancels = t.jobs.Without(key), t.cancels.Without(key)
+	t.dropJob(key)
+	t.cancels = t.cancels.Without(key)
 	if c, ok := t.copies.Get(key); ok {
 		t.discards = t.discards.With(key, t.now.Add(discardInterval).UnixMilli())
 		t.emit(c.discard(id))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -88,6 +88,7 @@
 	leader leader.State
 
 	jobs     container.Table[ledger.Job]
+	weight   int64 // of all jobs
 	progress container.Table[ledger.Progress]
 	cancels  container.Table[bool]
 	copies   container.Table[copies]
@@ -162,6 +163,9 @@
 // Job returns an accepted job that has not been dropped.
 func (s State) Job(id ledger.ID) (ledger.Job, bool) { return s.jobs.Get(string(id)) }
 
+// Weight returns about how many bytes of memory the jobs take that have not ended.
+func (s State) Weight() int64 { return s.weight }
+
 // JobState returns the state of a job according to the log.
 func (s State) JobState(id ledger.ID) (ledger.State, bool) {
 	if p, ok := s.progress.Get(string(id)); ok {
--- a/internal/ledger/workspace.go
+++ b/internal/ledger/workspace.go
@@ -12,18 +12,19 @@
 // usefulFactor is the multiple of its objective up to which a job is of use to its client.
 const usefulFactor = 3
 
-// Claim is what a job asks of the share of its workspace.
+// Claim is what a job asks of the share of its workspace and of the memory of the entries.
 type Claim struct {
 	Workspace string
 	Priority  int
 	Chain     time.Duration // the shortest time that the job takes
 	Limit     time.Duration // the time after which it is of no use, 0 for never
+	Weight    int64         // bytes of memory, as estimated
 }
 
 // Claim returns the claim of a job. One that is meant to last or waits for its times is of
 // use for ever.
 func (j Job) Claim() Claim {
-	c := Claim{Workspace: j.Workspace, Priority: j.Queue.Priority, Chain: j.CriticalPath(), Limit: usefulFactor * j.ObjectiveTime()}
+	c := Claim{Workspace: j.Workspace, Priority: j.Queue.Priority, Chain: j.CriticalPath(), Limit: usefulFactor * j.ObjectiveTime(), Weight: j.Weight()}
 	for _, s := range j.Steps {
 		if s.LongRunning || j.Schedule != nil {
 			c.Limit = 0
--- a/internal/linker/handle.go
+++ b/internal/linker/handle.go
@@ -140,6 +140,9 @@
 	if m.Claim != nil && l.Gate != nil {
 		if err := l.Gate.Admit(ledger.ID(m.Name), ledger.Claim(*m.Claim)); err != nil {
 			failed := &jsonrpc2.Error{Code: codeBeyond, Message: err.Error()}
+			if errors.Is(err, classifier.ErrCongested) {
+				failed.Code = codeCongested
+			}
 			failed.SetError(refusal{RetryAfter: classifier.RetryAfter(err)})
 			return nil, failed
 		}
@@ -147,6 +150,9 @@
 	bounded, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := l.Journal.Add(bounded, replicator.Value{Name: m.Name, Data: m.Data}); err != nil {
+		if m.Claim != nil && l.Gate != nil && classifier.NotExecuted(err) {
+			l.Gate.Withdraw(ledger.ID(m.Name))
+		}
 		failed := &jsonrpc2.Error{Code: codeUnknown, Message: err.Error()}
 		switch {
 		case errors.Is(err, classifier.ErrCongested):
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -71,8 +71,11 @@
 
 // Gate decides whether this entry takes in a job while it leads.
 type Gate interface {
-	// Admit returns an error of kind classifier.BeyondShare if the job is turned away.
+	// Admit returns an error if the job is turned away: of kind classifier.BeyondShare or with the cause
+	// classifier.ErrCongested.
 	Admit(id ledger.ID, c ledger.Claim) error
+	// Withdraw takes back an admission after which nothing was written.
+	Withdraw(id ledger.ID)
 }
 
 // Adviser asks the advice service on behalf of this instance.
--- a/internal/linker/messages.go
+++ b/internal/linker/messages.go
@@ -72,15 +72,16 @@
 type writeMessage struct {
 	Name  string        `json:"name"`
 	Data  []byte        `json:"data"`
-	Claim *claimMessage `json:"claim,omitempty"` // of a job that counts against a workspace
+	Claim *claimMessage `json:"claim,omitempty"` // of a job
 }
 
 // claimMessage is a ledger.Claim.
 type claimMessage struct {
-	Workspace string        `json:"workspace"`
+	Workspace string        `json:"workspace,omitempty"`
 	Priority  int           `json:"priority,omitempty"`
 	Chain     time.Duration `json:"chain,omitempty"`
 	Limit     time.Duration `json:"limit,omitempty"`
+	Weight    int64         `json:"weight,omitempty"`
 }
 
 // refusal is the data of the error of a write that was refused for the workspace's share.
--- a/internal/linker/write.go
+++ b/internal/linker/write.go
@@ -20,8 +20,8 @@
 	return l.callLeader(bounded, methodWrite, writeMessage{Name: v.Name, Data: v.Data}, nil)
 }
 
-// Submit is Add for a job that counts against a workspace. The leader may turn it away with
-// an error of kind classifier.BeyondShare.
+// Submit is Add for a job. The leader may turn it away with an error of kind
+// classifier.BeyondShare or with the cause classifier.ErrCongested.
 func (l *Linker) Submit(ctx context.Context, v replicator.Value, c ledger.Claim) error {
 	bounded, cancel := context.WithTimeout(ctx, writeTimeout+writeMargin)
 	defer cancel()
--- a/internal/linker/write_test.go
+++ b/internal/linker/write_test.go
@@ -28,6 +28,8 @@
 	return nil
 }
 
+func (g *gate) Withdraw(ledger.ID) {}
+
 // The leader judges a job by its claim before it writes anything, and the entry learns when
 // the job may come again. Other values are not judged.
 func TestTheLeaderJudgesClaims(t *testing.T) {
--- a/internal/resister/kinds_test.go
+++ b/internal/resister/kinds_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
 )
 
 // pipelined is the number of requests that a connection sends without reading an answer, manyPipelined that of
@@ -200,6 +201,39 @@
 	e.check(t)
 }
 
+// Guards against accepted jobs that take up all memory: legal ones that differ from ordinary ones in what they take.
+func TestManyLargestJobs(t *testing.T) {
+	var after strings.Builder
+	after.WriteString(`{"spec":"s","steps":[{"count":1}`)
+	for after.Len() < maxBody-1000 {
+		after.WriteString(`,{"count":1,"after":[0` + strings.Repeat(",0", 200) + `]}`)
+	}
+	after.WriteString("]}")
+	spec := strings.Repeat("s", 4000)
+	full := `{"spec":"` + spec + `","steps":[` + strings.Repeat(`{"count":1,"cpu":500,"mem_mb":256,"est_ms":900,"checkpoint":true,"required_label":"`+strings.Repeat("l", 150)+`"},`, 999) + `{"count":1}]}`
+	assert.Assert(t, len(full) < maxBody)
+	for _, c := range []struct {
+		name, body string
+		each       int
+	}{
+		{"of the largest size", full, 1},
+		{"of steps after others", after.String(), 1},
+		{"of many steps in a small body", `{"spec":"s","steps":[` + strings.Repeat(`{"count":1},`, 999) + `{"count":1}]}`, 4},
+		{"of many tasks", `{"spec":"s","steps":[{"count":3500}]}`, 16},
+		{"with a large spec", `{"spec":"` + spec + `","steps":[{"count":1}]}`, 64},
+		{"of many occurrences", `{"spec":"s","times":10000,"steps":[{"count":1}]}`, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEntry(t)
+			readAll(rush(t, e.callers, crowd, 1, func(i int) []byte {
+				requests := repeat(c.each, func(k int) string { return post(i, k, c.body) })
+				return append(requests, "GET /q/ HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n"...)
+			}))
+			e.check(t)
+		})
+	}
+}
+
 func TestDeadlinesWithoutEnd(t *testing.T) {
 	e := startEntry(t)
 	stall(t, e.callers, idleCrowd, 1, func(i int) []byte {
--- a/internal/resister/log_test.go
+++ b/internal/resister/log_test.go
@@ -15,6 +15,9 @@
 // readPause delays the answer of a read that finds nothing, which readers repeat at once.
 const readPause = 50 * time.Millisecond
 
+// readBytes is the size from which on a read returns no more records, the platform's default.
+const readBytes = 1 << 20
+
 // log is an in-memory log with one partition per topic, served over HTTP.
 type log struct {
 	mu     sync.Mutex
@@ -44,6 +47,9 @@
 		out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 		out = binary.BigEndian.AppendUint64(out, 0)
 		for _, record := range records[min(from, len(records)):] {
+			if len(out) > readBytes {
+				break
+			}
 			out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 			out = append(out, record...)
 		}
