--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -62,7 +62,7 @@
 		return
 	}
 	c.listener.limiter.update(c, c.account.withPhase(p, now))
-	if p != deciding && c.listener.open > c.listener.most {
+	if p != deciding && p != answering && c.listener.open > c.listener.most {
 		c.listener.room.Signal()
 	}
 	switch p {
@@ -110,6 +110,18 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the deadline of the server, which lifts it after each response. That of a connection that was
+// told to close stays.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	l := c.listener.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.account.leaving {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // lookAgain reports whether a limit has ended a read, and allows another read to find what had arrived by then.
 func (c *conn) lookAgain() bool {
 	l := c.listener.limiter
@@ -196,8 +208,12 @@
 func (c *conn) write(p []byte) (int, error) {
 	l := c.listener.limiter
 	l.mu.Lock()
+	now := time.Now()
+	if c.account.phase == deciding {
+		c.begin(answering, now)
+	}
 	if !c.account.leaving && c.account.phase != linked {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = c.Conn.SetWriteDeadline(now.Add(writeTimeout))
 	}
 	l.mu.Unlock()
 	return c.Conn.Write(p)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -94,7 +94,7 @@
 	var slowest *conn
 	most := -1.0
 	for c := range l.conns {
-		if !c.account.closable() || !eligible(c) {
+		if !c.account.closable(now) || !eligible(c) {
 			continue
 		}
 		if spent := c.account.spent(c.listener.limits(), now); spent > most {
@@ -110,6 +110,10 @@
 	l.refuse(reason)
 	l.update(c, c.account.withLeaving())
 	c.listener.leaving++
-	_ = c.Conn.SetWriteDeadline(now.Add(partingTimeout))
+	parting := partingTimeout
+	if c.account.phase == answering {
+		parting = 0 // its client doesn't read
+	}
+	_ = c.Conn.SetWriteDeadline(now.Add(parting))
 	_ = c.Conn.SetReadDeadline(now)
 }
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -48,6 +48,9 @@
 	writeTimeout   = 10 * time.Second
 	writePiece     = 64 << 10
 	partingTimeout = time.Second
+	// unreadAfter is how long an answer is written before its connection can be closed for another: ordinary clients
+	// take less to read.
+	unreadAfter = 3 * time.Second
 	// partingTime and partingBytes bound what is read of a client after a refusal, so that
 	// the refusal isn't lost in a reset.
 	partingTime  = 500 * time.Millisecond
@@ -102,11 +105,12 @@
 type phase int
 
 const (
-	inHead   phase = iota // a head is arriving, or the first one is due
-	inBody                // a body is arriving; nothing of the request can have run
-	deciding              // the request is complete
-	idle                  // between two requests
-	linked                // a stream of messages of another entry, since the last one began or ended
+	inHead    phase = iota // a head is arriving, or the first one is due
+	inBody                 // a body is arriving; nothing of the request can have run
+	deciding               // the request is complete
+	answering              // the answer to a complete request is being written
+	idle                   // between two requests
+	linked                 // a stream of messages of another entry, since the last one began or ended
 )
 
 // account is what a connection uses. It is immutable.
@@ -151,8 +155,16 @@
 func (a account) large() int64 { return max(a.held-smallBytes, 0) }
 
 // closable reports whether the connection can be closed without doubt about a request: none is
-// running.
-func (a account) closable() bool { return !a.leaving && a.phase != deciding }
+// running, or its answer is not read.
+func (a account) closable(now time.Time) bool {
+	switch a.phase {
+	case deciding:
+		return false
+	case answering:
+		return !a.leaving && now.Sub(a.since) >= unreadAfter
+	}
+	return !a.leaving
+}
 
 // spent returns the share of its time that the connection has used in its phase.
 func (a account) spent(l Limits, now time.Time) float64 {
@@ -162,6 +174,8 @@
 		allowed = l.HeadTimeout()
 	case inBody:
 		allowed = fairBodyTime + timeFor(a.received, fairRate)
+	case answering:
+		allowed = unreadAfter
 	case linked:
 		allowed = fairBodyTime + timeFor(a.held, fairRate)
 	}
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -67,7 +67,9 @@
 	defer l.limiter.mu.Unlock()
 	for l.open > l.most && !l.closed {
 		l.evictSlowest(time.Now())
+		lookAgain := time.AfterFunc(unreadAfter, l.room.Broadcast)
 		l.room.Wait()
+		lookAgain.Stop()
 	}
 	return !l.closed
 }
