--- a/internal/resister/process_test.go
+++ b/internal/resister/process_test.go
@@ -76,19 +76,31 @@
 
 // startEntry starts an entry and a log, and waits until the entry is ready and accepts jobs.
 func startEntry(t *testing.T) *entry {
+	t.Helper()
+	return startEntryAt(t, startLog(t), "e1")
+}
+
+// startLog starts a log that has the configuration, and returns its address.
+func startLog(t *testing.T) string {
 	t.Helper()
 	value := append([]byte{byte(len("config"))}, "config"+config...)
 	l := &log{topics: map[string][][]byte{}, epochs: map[string]int64{}}
 	l.append("keyed.op", "", "", append(binary.BigEndian.AppendUint32(nil, uint32(len(value))), value...))
 	server := httptest.NewServer(l)
 	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// startEntryAt is startEntry for an entry with a name at a log.
+func startEntryAt(t *testing.T, logAddress, name string) *entry {
+	t.Helper()
 	e := &entry{output: &bytes.Buffer{}, ended: make(chan error, 1)}
 	for _, address := range []*string{&e.callers, &e.ready, &e.peers, &e.metrics} {
 		*address = freeAddress(t)
 	}
 	settings := filepath.Join(t.TempDir(), "settings.yaml")
-	text := fmt.Sprintf("name: e1\nzone: z1\nlisten: {callers: %q, ready: %q, peers: %q, metrics: %q}\nplatform: %q\nlease: 10s\ngrace: 3s\nkeep: 120s\nshare: 1\nmemory: %d\n",
-		e.callers, e.ready, e.peers, e.metrics, server.Listener.Addr(), memory)
+	text := fmt.Sprintf("name: %s\nzone: z1\nlisten: {callers: %q, ready: %q, peers: %q, metrics: %q}\nplatform: %q\nlease: 10s\ngrace: 3s\nkeep: 120s\nshare: 1\nmemory: %d\n",
+		name, e.callers, e.ready, e.peers, e.metrics, logAddress, memory)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
 	command := exec.Command(program, "schedule", "--config", settings)
 	command.Stdout, command.Stderr = e.output, e.output
