--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -238,7 +238,7 @@
 func TestAJobReadLateKeepsItsRuns(t *testing.T) {
 	e := synced()
 	late := job("j")
-	begun := ledger.NewProgress(*late.Job).WithRoundBegun(*late.Job, 0).WithState(ledger.Running)
+	begun := ledger.NewProgress(*late.Job).WithRoundsBegun(*late.Job, 0).WithState(ledger.Running)
 	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
 	e.runs(keeper.RunChange{ID: "j", Progress: &begun})
 	e.claims(time.Second)
--- a/internal/leader/report_test.go
+++ b/internal/leader/report_test.go
@@ -348,7 +348,7 @@
 	h.running["j.0.0.0"] = "w00"
 	h.report("w00")
 	job := ledger.Job{ID: "j", Accepted: h.now, Queue: ledger.Queue{Service: "s"}, Workspace: "a", Steps: []ledger.Step{{Count: 2, Request: ledger.Resources{CPU: 1000}}}}
-	begun := ledger.NewProgress(job).WithRoundBegun(job, 0).WithState(ledger.Running)
+	begun := ledger.NewProgress(job).WithRoundsBegun(job, 0).WithState(ledger.Running)
 	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w00"))
 	h.capCPU(1, 8000)
 	h.apply(leader.Accepted{Job: job, Progress: &begun})
--- a/internal/ledger/progress_test.go
+++ b/internal/ledger/progress_test.go
@@ -14,7 +14,7 @@
 	const members = 2
 	gang := ledger.Step{Count: members, Gang: true}
 	j := ledger.Job{ID: "j", Steps: []ledger.Step{gang, gang}, Schedule: &ledger.Schedule{Times: 2}}
-	p := ledger.NewProgress(j).WithRoundBegun(j, 0).WithRoundBegun(j, 1)
+	p := ledger.NewProgress(j).WithRoundsBegun(j, 0, 1)
 	var ids []ledger.TaskID
 	for round := range p.Rounds {
 		for step := range j.Steps {
