--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -44,7 +44,7 @@
 	if c.listener.relays {
 		n = 0
 	}
-	if c.account.leaving || !l.hold(c, n, now) {
+	if !l.hold(c, n, now) {
 		return false
 	}
 	if complete {
@@ -92,7 +92,7 @@
 	if c.account.held == 0 && !c.account.leaving {
 		l.update(c, c.account.withPhase(linked, now))
 	}
-	if c.account.leaving || !l.hold(c, int64(n), now) {
+	if !l.hold(c, int64(n), now) {
 		return ErrCrowded
 	}
 	return nil
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -70,7 +70,7 @@
 // hold adds bytes to what a connection holds and closes others, the slowest first, until the budget holds.
 // It reports false if the connection itself had to go. The caller holds l.mu.
 func (l *Limiter) hold(c *conn, n int64, now time.Time) bool {
-	if c.released {
+	if c.released || c.account.leaving {
 		return false
 	}
 	l.update(c, c.account.withHeld(c.account.held+n))
