--- a/internal/commands/gatekeeper/gatekeeper.go
+++ b/internal/commands/gatekeeper/gatekeeper.go
@@ -27,7 +27,7 @@
 // part that is left shrinks with the weight of a job, by half at smallWeight, so that those that have taken up all of it
 // leave room for smaller ones.
 const (
-	largePart, smallPart = 8, 8
+	largePart, smallPart = 8, 16
 	smallWeight          = 64 << 10
 )
 
