--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -11,8 +11,11 @@
 	"sync/atomic"
 )
 
-// queueLength bounds the lines that are queued or being written. At 300 bytes a line it is about 1 MB.
-const queueLength = 4096
+// queueLength and queueBytes bound the lines that are queued or being written. Clients choose how long some lines are.
+const (
+	queueLength = 4096
+	queueBytes  = 2 << 20
+)
 
 // maxWriteBytes is the size from which lines that wait are not added to a write. Pipes
 // keep writes of up to 4 KB whole.
@@ -26,6 +29,7 @@
 	batch   []byte       // lines that are being written, reused
 	lines   int64        // their number
 	held    atomic.Int64 // lines that are queued or being written
+	bytes   atomic.Int64 // their size
 	dropped atomic.Int64
 }
 
@@ -39,8 +43,7 @@
 // Write queues a copy of a line, or drops the line if the queue is full. It never
 // fails.
 func (s *Spooler) Write(line []byte) (int, error) {
-	if s.held.Add(1) > queueLength {
-		s.held.Add(-1)
+	if !s.reserve(len(line)) {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
@@ -48,6 +51,20 @@
 	return len(line), nil
 }
 
+// reserve reports whether the queue has room for a line of a size, and takes it up.
+func (s *Spooler) reserve(size int) bool {
+	if s.held.Add(1) > queueLength {
+		s.held.Add(-1)
+		return false
+	}
+	if s.bytes.Add(int64(size)) > queueBytes {
+		s.bytes.Add(-int64(size))
+		s.held.Add(-1)
+		return false
+	}
+	return true
+}
+
 // Dropped returns the number of dropped lines.
 func (s *Spooler) Dropped() int64 { return s.dropped.Load() }
 
@@ -106,6 +123,7 @@
 func (s *Spooler) writeBatch() {
 	s.write(s.batch)
 	s.held.Add(-s.lines)
+	s.bytes.Add(-int64(len(s.batch)))
 }
 
 // write writes lines to the output. An error only counts them as dropped, since
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -54,6 +54,29 @@
 	assert.Equal(t, written+s.Dropped(), int64(10_000))
 }
 
+// Guards against a queue of long lines that takes up the memory: clients choose the paths that are logged.
+func TestLongLinesTakeUpABoundedQueue(t *testing.T) {
+	const lines, size = 4000, 16 << 10
+	o := &output{gate: make(chan struct{})}
+	s := spooler.New(o)
+	line := append(bytes.Repeat([]byte("x"), size-1), '\n')
+	for range 2 {
+		before := s.Dropped()
+		for range lines {
+			_, err := s.Write(line)
+			assert.NilError(t, err)
+		}
+		held := (lines - s.Dropped() + before) * size
+		assert.Assert(t, 0 < held && held <= 4<<20, "%d bytes are queued", held)
+		if before == 0 {
+			close(o.gate)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			assert.ErrorIs(t, s.Serve(ctx), context.Canceled) // what was written makes room
+		}
+	}
+}
+
 func BenchmarkWrite(b *testing.B) {
 	o := &output{gate: make(chan struct{})}
 	close(o.gate)
