--- a/internal/resister/process_test.go
+++ b/internal/resister/process_test.go
@@ -26,6 +26,8 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/endivelock/endivelock/internal/emulator"
 )
 
 const (
@@ -128,12 +130,14 @@
 	return e
 }
 
+// freeAddress returns an address that no connection and no other test takes until the test ends.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports := &emulator.Ports{}
+	t.Cleanup(func() { assert.Check(t, ports.Release()) })
+	address, err := ports.Address()
 	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // do sends a request on a connection of its own and returns the status of the response.
