--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -29,8 +29,6 @@
 	headrooms      map[string]*headroom  // by service; none where no urgent task runs
 	reserves       map[string]*reserve   // by service; none where nothing waits that may go first
 	racks          rackView              // for steps that want a rack
-
-	reserved map[string]ledger.Resources // for which the reserves keep room, by workspace
 }
 
 // requirement is what a step requires of a worker in addition to capacity.
--- a/internal/leader/reserve.go
+++ b/internal/leader/reserve.go
@@ -32,26 +32,7 @@
 	if full := s.bound(); !full.CanFit(s.wanted) {
 		return // nothing more can be kept
 	}
-	s.wanted = s.wanted.Plus(r.spec().Reservation().Times(p.reserveUnderCap(r, p.countIdle(r))))
-}
-
-// reserveUnderCap returns how many of a number of tasks of a step fit under the cap of its
-// workspace beside those of other steps for which room is kept, and adds them to these.
-func (p *placementPass) reserveUnderCap(r stepRef, tasks int) int {
-	workspace, size := r.job.Job.Workspace, r.spec().Reservation()
-	if workspace == "" {
-		return tasks
-	}
-	account, kept := p.account, p.reserved[workspace]
-	if kept != (ledger.Resources{}) {
-		account = account.WithRuns(workspace, kept, 1)
-	}
-	tasks = account.Room(workspace, size, tasks)
-	if p.reserved == nil {
-		p.reserved = map[string]ledger.Resources{}
-	}
-	p.reserved[workspace] = kept.Plus(size.Times(tasks))
-	return tasks
+	s.wanted = s.wanted.Plus(r.spec().Reservation().Times(p.underCap(r, p.countIdle(r))))
 }
 
 // reserveOf returns the reserve at the service of a step.
