--- a/internal/resister/process_test.go
+++ b/internal/resister/process_test.go
@@ -96,7 +96,7 @@
 // startEntryAt is startEntry for an entry with a name at a log.
 func startEntryAt(t *testing.T, logAddress, name string) *entry {
 	t.Helper()
-	e := &entry{output: &bytes.Buffer{}, ended: make(chan error, 1)}
+	e := &entry{}
 	for _, address := range []*string{&e.callers, &e.ready, &e.peers, &e.metrics} {
 		*address = freeAddress(t)
 	}
@@ -104,7 +104,21 @@
 	text := fmt.Sprintf("name: %s\nzone: z1\nlisten: {callers: %q, ready: %q, peers: %q, metrics: %q}\nplatform: %q\nlease: 10s\ngrace: 3s\nkeep: 120s\nshare: 1\nmemory: %d\n",
 		name, e.callers, e.ready, e.peers, e.metrics, logAddress, memory)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	command := exec.Command(program, "schedule", "--config", settings)
+	e.run(t, "schedule", settings)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, err := e.do("POST", "/q/00000000000000aa", `{"spec":"s","steps":[{"count":1,"cpu":1}]}`); err != nil || status != http.StatusOK {
+			return poll.Continue("the entry answers %d, %v", status, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startTimeout))
+	return e
+}
+
+// run runs the program in a role until the test ends.
+func (e *entry) run(t *testing.T, role, settings string) {
+	t.Helper()
+	e.output, e.ended = &bytes.Buffer{}, make(chan error, 1)
+	command := exec.Command(program, role, "--config", settings)
 	command.Stdout, command.Stderr = e.output, e.output
 	assert.NilError(t, command.Start())
 	e.pid = command.Process.Pid
@@ -121,13 +135,6 @@
 			t.Log("the last lines of the entry:\n" + out[max(0, len(out)-2000):])
 		}
 	})
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if status, err := e.do("POST", "/q/00000000000000aa", `{"spec":"s","steps":[{"count":1,"cpu":1}]}`); err != nil || status != http.StatusOK {
-			return poll.Continue("the entry answers %d, %v", status, err)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(startTimeout))
-	return e
 }
 
 // freeAddress returns an address that no connection and no other test takes until the test ends.
--- a/internal/resister/serve_test.go
+++ b/internal/resister/serve_test.go
@@ -8,12 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -62,7 +60,7 @@
 	text := fmt.Sprintf("name: e1\nzone: z1\nzones: [z1]\nlisten: {callers: %q, operators: %q, forward: %q, peers: %q}\nplatform: %q\nservers: {status: /slots}\nmemory: %d\n%s",
 		s.callers, s.operators, s.forward, s.peers, onPlatform.URL, memory, strings.Join(added, "\n"))
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	s.run(t, settings)
+	s.run(t, "serve", settings)
 	ctx, stop := context.WithTimeout(context.Background(), startTimeout)
 	defer stop()
 	client := &caller.Client{URL: "http://" + s.operators}
@@ -83,29 +81,6 @@
 	return s
 }
 
-// run runs the program until the test ends.
-func (s *server) run(t *testing.T, settings string) {
-	t.Helper()
-	s.output, s.ended = &bytes.Buffer{}, make(chan error, 1)
-	command := exec.Command(program, "serve", "--config", settings)
-	command.Stdout, command.Stderr = s.output, s.output
-	assert.NilError(t, command.Start())
-	s.pid = command.Process.Pid
-	var waiter errgroup.Group
-	waiter.Go(func() error {
-		s.ended <- command.Wait()
-		return nil
-	})
-	t.Cleanup(func() {
-		_ = command.Process.Kill()
-		_ = waiter.Wait()
-		if t.Failed() {
-			out := s.output.String()
-			t.Log("the last lines of the entry:\n" + out[max(0, len(out)-2000):])
-		}
-	})
-}
-
 // ordinary sends an ordinary request with a small body and returns the status of the response.
 func (s *server) ordinary(address string) (int, error) {
 	conn, err := net.DialTimeout("tcp", address, ordinaryTimeout)
