--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -264,3 +264,33 @@
 		}
 	}
 }
+
+// Guards against a second run of a task that is done: a leader that had not read the task's job yet
+// let the worker forget the end, and found the task started when it read the job.
+func TestNoEndOfAJobThatIsReadLateIsForgotten(t *testing.T) {
+	e := synced()
+	late := job("j")
+	begun := ledger.NewProgress(*late.Job).WithRoundsBegun(*late.Job, 0).WithState(ledger.Running)
+	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
+	e.runs(keeper.RunChange{ID: "j", Progress: &begun})
+	e.claims(time.Second)
+	e.apply(keeper.Claimed{Epoch: 9})
+	acknowledged := func(effects []keeper.Effect) {
+		for _, effect := range effects {
+			if l, ok := effect.(keeper.LeaderEffect); ok {
+				_, acknowledges := l.Effect.(leader.Acknowledge)
+				assert.Assert(t, !acknowledges, "%+v", l.Effect)
+			}
+		}
+	}
+	ended := leader.Report{Incarnation: 1, Clock: 1, Ended: []leader.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, Kind: leader.EndDone}}}
+	for _, event := range []leader.Event{
+		leader.Listed{Listing: leader.Listing{ID: "w", Address: "w", Capacity: ledger.Resources{CPU: 1}}},
+		leader.Reported{Worker: "w", Report: ended, Sent: e.now, Silence: leader.FirstSilence(0)},
+	} {
+		acknowledged(e.apply(keeper.LeaderEvent{Epoch: 9, Event: event}))
+	}
+	for batch := range int64(5) {
+		acknowledged(e.apply(keeper.Written{Batch: batch + 1}))
+	}
+}
