--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -40,7 +40,8 @@
 	began    time.Time
 	takes    time.Duration // 0: until it is stopped
 	stopping bool
-	behavior behavior
+	gang     int // members of its gang, or 0
+	fails    bool
 	size     room
 }
 
@@ -143,7 +144,7 @@
 		}
 	}
 	if w.board != nil {
-		w.board.ended(t.name, t.run, how)
+		w.board.ended(t.name, how)
 	}
 	w.record.addRun("run     %s run %d at %s ends: %s", t.name, t.run, w.id, how)
 }
@@ -207,9 +208,9 @@
 		switch {
 		case lapsed:
 			w.finish(key, t, "lapsed")
-		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.behavior.fails && !t.behavior.atOnce:
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.fails:
 			w.finish(key, t, "failed")
-		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.behavior.gang == 0:
+		case t.takes > 0 && time.Since(t.began) >= t.takes && !t.stopping && t.gang == 0:
 			w.finish(key, t, "done")
 		}
 	}
@@ -379,7 +380,7 @@
 	t := &task{name: b.Task, run: b.Run, began: time.Now(), takes: takes(b.Spec, b.Task)}
 	w.running[key] = t
 	if w.board != nil {
-		t.behavior = w.board.behavior(b.Task, b.Run)
+		t.gang, t.fails = w.board.behavior(b.Task, b.Run)
 		t.size = w.board.size(b.Task)
 		w.board.began(b.Task, b.Run)
 	}
