--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -150,25 +150,39 @@
 		}
 	}
 	for worker, left := range free {
-		if job.Queue.Advice != nil && !c.permits(string(id)+".0.0", worker) {
-			continue
+		if c.mayRun(id, worker) {
+			places += max(fitting(step, left, here[worker]), 0)
 		}
-		fits := int(left.CPU / step.Request.CPU)
-		if step.MaxPerWorker > 0 {
-			fits = min(fits, step.MaxPerWorker-here[worker])
-		}
-		places += max(fits, 0)
-	}
-	needs := 1
-	if step.Gang {
-		needs = step.Count
 	}
-	if idle > 0 && places >= 2*needs {
+	if idle > 0 && places >= 2*needed(step) {
 		return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
 	}
 	return ""
 }
 
+// mayRun reports whether a worker may run tasks of a job.
+func (c *calmCell) mayRun(id ledger.ID, worker string) bool {
+	return c.jobs[id].Queue.Advice == nil || c.permits(string(id)+".0.0", worker)
+}
+
+// fitting returns how many more tasks of a step a worker may run that has so much room left and
+// runs some of them.
+func fitting(step ledger.Step, left ledger.Resources, here int) int {
+	fits := int(left.CPU / step.Request.CPU)
+	if step.MaxPerWorker > 0 {
+		fits = min(fits, step.MaxPerWorker-here)
+	}
+	return fits
+}
+
+// needed returns how many tasks of a step have to start at once.
+func needed(step ledger.Step) int {
+	if step.Gang {
+		return step.Count
+	}
+	return 1
+}
+
 // Guards against steps that wait though there is room for them, in a cell in which nothing
 // fails: whatever waits beside them.
 func TestStepsThatFitStartInACalmCell(t *testing.T) {
