--- a/internal/conductor/follow.go
+++ b/internal/conductor/follow.go
@@ -288,7 +288,7 @@
 		b.Values, b.Next = values, b.Next+int64(len(values))
 		e.controller.Submit(e.jobsRead(b))
 		if b.Next >= end || len(values) == 0 {
-			return b.Next, nil
+			return max(b.Next, end), nil
 		}
 	}
 }
@@ -305,7 +305,7 @@
 		b.Values, b.Next = values, b.Next+int64(len(values))
 		e.controller.Submit(e.runsRead(b))
 		if b.Next >= end || len(values) == 0 {
-			return b.Next, nil
+			return max(b.Next, end), nil
 		}
 	}
 }
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -85,18 +85,20 @@
 		}
 	}
 	raised := time.Now()
-	if _, err := e.readRuns(e.ctx, position.First); err != nil {
+	runs, err := e.readRuns(e.ctx, position.First)
+	if err != nil {
 		e.controller.Submit(keeper.ClaimFailed{Why: err.Error()})
 		return
 	}
-	if _, err := e.readJobs(e.ctx); err != nil {
+	jobs, err := e.readJobs(e.ctx)
+	if err != nil {
 		e.controller.Submit(keeper.ClaimFailed{Why: err.Error()})
 		return
 	}
 	e.logger.WithFields(logrus.Fields{
 		"epoch": epoch, "claimms": claimed.Sub(began).Milliseconds(), "fencems": raised.Sub(claimed).Milliseconds(), "readms": time.Since(raised).Milliseconds(),
 	}).Info("claim succeeded")
-	e.controller.Submit(keeper.Claimed{Epoch: epoch})
+	e.controller.Submit(keeper.Claimed{Epoch: epoch, Jobs: jobs, Runs: runs})
 }
 
 // catchUpRuns reads the records that made a claim fail, so that the next claim need
--- a/internal/keeper/apply.go
+++ b/internal/keeper/apply.go
@@ -342,6 +342,11 @@
 		ClaimFailed{Why: "another entry has claimed since"}.apply(t)
 		return
 	}
+	if t.Offset(Jobs) < e.Jobs || t.Offset(Runs) < e.Runs {
+		// A leader takes a job that it doesn't know for one that has ended.
+		ClaimFailed{Why: "the streams have not been read to their ends"}.apply(t)
+		return
+	}
 	inherited := t.leases.inherited(t.policy, t.now, e.Epoch-1, t.leaderInactive() && t.State.lead.Epoch == t.leases.epoch)
 	clock := t.leases.clock.from(t.now)
 	t.renewer = t.leases.renewer(e.Epoch - 1)
--- a/internal/keeper/events.go
+++ b/internal/keeper/events.go
@@ -68,7 +68,10 @@
 
 // Claimed reports that this entry's claim succeeded with an epoch. Earlier leaders
 // were fenced off, and after that both streams were read to their ends.
-type Claimed struct{ Epoch int64 }
+type Claimed struct {
+	Epoch      int64
+	Jobs, Runs int64 // offsets of the ends of the streams
+}
 
 // ClaimFailed reports that the claim did not succeed.
 type ClaimFailed struct{ Why string }
