--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -304,5 +304,42 @@
 	e.apply(keeper.JobsRead{Changes: []keeper.JobChange{late}, Next: 1})
 	recorded, acknowledged := lead(11)
 	assert.Assert(t, acknowledged)
+	assert.Assert(t, recorded != nil, "the end is acknowledged and not in the log")
 	assert.Equal(t, recorded.State, ledger.Complete)
 }
+
+// Guards against a leader that doesn't know all that an earlier one has recorded.
+func TestNoClaimSucceedsBeforeTheStreamsWereReadToTheirEnds(t *testing.T) {
+	for name, behind := range map[string]struct{ jobs, runs int64 }{"jobs": {jobs: 1}, "runs": {runs: 1}, "neither": {}} {
+		t.Run(name, func(t *testing.T) {
+			e := synced()
+			e.claims(time.Second)
+			e.apply(keeper.Claimed{Epoch: 9, Jobs: behind.jobs, Runs: e.next + behind.runs})
+			assert.Equal(t, e.state.Role() == keeper.Leading, behind.jobs+behind.runs == 0)
+		})
+	}
+}
+
+// Guards against a second run of a task that is done, where an entry can't decode the record of its
+// job: it reads on, leads without the job, and lets the worker forget the end.
+func TestNoEndOfAJobThatCannotBeDecodedIsForgotten(t *testing.T) {
+	e := synced()
+	begun := ledger.NewProgress(*job("j").Job).WithRoundsBegun(*job("j").Job, 0).WithState(ledger.Running)
+	begun = begun.WithTask(ledger.TaskID{Job: "j"}, ledger.Task{}.WithRun(1, "w"))
+	e.runs(keeper.RunChange{ID: "j", Progress: &begun})
+	e.apply(keeper.JobsRead{Next: 1})
+	e.claims(time.Second)
+	e.apply(keeper.Claimed{Epoch: 9, Jobs: 1})
+	ended := leader.Report{Incarnation: 1, Clock: 1, Ended: []leader.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, Kind: leader.EndDone}}}
+	effects := e.apply(keeper.LeaderEvent{Epoch: 9, Event: leader.Listed{Listing: leader.Listing{ID: "w", Address: "w", Capacity: ledger.Resources{CPU: 1}}}})
+	effects = append(effects, e.apply(keeper.LeaderEvent{Epoch: 9, Event: leader.Reported{Worker: "w", Report: ended, Sent: e.now, Silence: leader.FirstSilence(0)}})...)
+	for batch := range int64(5) {
+		effects = append(effects, e.apply(keeper.Written{Batch: batch + 1})...)
+	}
+	for _, effect := range effects {
+		if l, ok := effect.(keeper.LeaderEffect); ok {
+			_, acknowledges := l.Effect.(leader.Acknowledge)
+			assert.Assert(t, !acknowledges, "%+v", l.Effect)
+		}
+	}
+}
