--- a/internal/leader/caps_liveness_test.go
+++ b/internal/leader/caps_liveness_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"math"
 	"testing"
 	"time"
 
@@ -19,12 +17,8 @@
 	caps map[string]int64 // by workspace
 	full time.Time        // when half of the cell or more was last in use
 	busy map[string]time.Time
-	past []map[string]string // worker by task, at each look of the last stillTime
 }
 
-// lookTime is the time between two looks at the cell.
-const lookTime = 50 * time.Millisecond
-
 // used returns the processor time that a workspace uses at the workers.
 func (c *cappedCell) used(workspace string) int64 {
 	used := int64(0)
@@ -42,8 +36,6 @@
 func (c *cappedCell) watch(d time.Duration) string {
 	for end := c.now.Add(d); c.now.Before(end); {
 		c.pass(lookTime)
-		c.past = append(c.past, maps.Clone(c.running))
-		c.past = c.past[max(0, len(c.past)-int(stillTime/lookTime)):]
 		if c.inUse() >= 0.5 {
 			c.full = c.now
 		}
@@ -77,42 +69,13 @@
 		if c.now.Sub(c.busy[job.Workspace]) < stillTime || job.Workspace != "" && c.used(job.Workspace)+need > c.caps[job.Workspace] {
 			continue
 		}
-		if found := c.startableJob(id); found != "" && !c.givesWay(id) {
+		if found := c.startableJob(id); found != "" {
 			return found
 		}
 	}
 	return ""
 }
 
-// givesWay reports whether a job has waited for workers that tasks of jobs as urgent as it, or
-// more, have used in turns: between two of them there is room for a moment.
-func (c *cappedCell) givesWay(id ledger.ID) bool {
-	step := c.jobs[id].Steps[0]
-	places := 0
-	for i := range c.workers {
-		worker, fits := fmt.Sprintf("w%02d", i), math.MaxInt
-		if !c.mayRun(id, worker) {
-			continue
-		}
-		for _, running := range c.past {
-			left, here := c.room, 0
-			for task, at := range running {
-				other, _ := ledger.ParseTaskID(task)
-				switch {
-				case at != worker:
-				case other.Job == id:
-					here++
-				case c.jobs[other.Job].Queue.Priority <= c.jobs[id].Queue.Priority:
-					left = left.Minus(c.jobs[other.Job].Steps[0].Reservation())
-				}
-			}
-			fits = min(fits, max(fitting(step, left, here), 0))
-		}
-		places += fits
-	}
-	return places < 2*needed(step)
-}
-
 // Guards against jobs that wait though there is room under the cap of their workspace and at
 // the workers, in a cell in which nothing fails, and against caps that are passed there.
 func TestJobsBelowTheirCapStartInACalmCell(t *testing.T) {
--- a/internal/leader/liveness_test.go
+++ b/internal/leader/liveness_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +65,7 @@
 	began   map[string]time.Time    // by task
 	active  map[ledger.ID]time.Time // when a run of a job was last there
 	done    map[string]bool
+	past    []map[string]string // worker by task, at each look of the last turnTime
 }
 
 func (c *calmCell) permits(step, worker string) bool {
@@ -71,13 +74,19 @@
 	return int(f.Sum32()%100) < c.share
 }
 
-// shortRun is how long each task runs that is not meant to last.
-const shortRun = 300 * time.Millisecond
+const (
+	// shortRun is how long each task runs that is not meant to last.
+	shortRun = 300 * time.Millisecond
+	// lookTime is the time between two looks at the cell.
+	lookTime = 50 * time.Millisecond
+	// turnTime is how long a job may take to start once more urgent ones have left it room.
+	turnTime = time.Second
+)
 
 // pass lets time pass. Gangs and short tasks end as done after shortRun.
 func (c *calmCell) pass(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
-		c.now = c.now.Add(50 * time.Millisecond)
+		c.now = c.now.Add(lookTime)
 		c.apply(leader.Ticked{})
 		ends := map[string][]leader.RunEnd{}
 		for task, at := range c.running {
@@ -98,6 +107,8 @@
 			}
 			c.report(at, list...)
 		}
+		c.past = append(c.past, maps.Clone(c.running))
+		c.past = c.past[max(0, len(c.past)-int(turnTime/lookTime)):]
 	}
 }
 
@@ -131,33 +142,61 @@
 		return ""
 	}
 	step := job.Steps[0]
+	idle, places := c.idle(id), c.places(id, c.running, func(ledger.ID) bool { return true })
+	if idle > 0 && places >= 2*needed(step) && !c.givesWay(id) {
+		return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
+	}
+	return ""
+}
+
+// idle returns how many tasks of a job wait.
+func (c *calmCell) idle(id ledger.ID) int {
+	idle := 0
+	for i := range c.jobs[id].Steps[0].Count {
+		if task := fmt.Sprintf("%s.0.0.%d", id, i); !c.done[task] && c.running[task] == "" {
+			idle++
+		}
+	}
+	return idle
+}
+
+// places returns how many more tasks of a job fit beside some runs: its own and those of the other
+// jobs that count.
+func (c *calmCell) places(id ledger.ID, running map[string]string, counts func(other ledger.ID) bool) int {
+	step := c.jobs[id].Steps[0]
 	free := map[string]ledger.Resources{}
 	here := map[string]int{}
 	for i := range c.workers {
 		free[fmt.Sprintf("w%02d", i)] = c.room
 	}
-	for task, at := range c.running {
+	for task, at := range running {
 		other, _ := ledger.ParseTaskID(task)
-		free[at] = free[at].Minus(c.jobs[other.Job].Steps[other.Step].Reservation())
 		if other.Job == id {
 			here[at]++
 		}
-	}
-	idle, places := 0, 0
-	for i := range step.Count {
-		if task := fmt.Sprintf("%s.0.0.%d", id, i); !c.done[task] && c.running[task] == "" {
-			idle++
+		if other.Job == id || counts(other.Job) {
+			free[at] = free[at].Minus(c.jobs[other.Job].Steps[other.Step].Reservation())
 		}
 	}
+	places := 0
 	for worker, left := range free {
 		if c.mayRun(id, worker) {
 			places += max(fitting(step, left, here[worker]), 0)
 		}
 	}
-	if idle > 0 && places >= 2*needed(step) {
-		return fmt.Sprintf("%s: %d tasks wait with room for %d", id, idle, places)
+	return places
+}
+
+// givesWay reports whether a job has just waited for more urgent ones that use the workers in turns,
+// so that there is room between two of their tasks for a moment: these, and what lasts, left too
+// little room.
+func (c *calmCell) givesWay(id ledger.ID) bool {
+	counts := func(other ledger.ID) bool {
+		return c.jobs[other].Queue.Priority < c.jobs[id].Queue.Priority || c.jobs[other].Steps[0].LongRunning
 	}
-	return ""
+	return slices.ContainsFunc(c.past, func(running map[string]string) bool {
+		return c.places(id, running, counts) < needed(c.jobs[id].Steps[0])
+	})
 }
 
 // mayRun reports whether a worker may run tasks of a job.
