--- a/internal/commands/commander/polls.go
+++ b/internal/commands/commander/polls.go
@@ -140,12 +140,14 @@
 }
 
 // pollAttempt returns a poll on a line. It tells the worker values only if the incarnation
-// for which they are valid has answered on the line.
+// for which they are valid has answered on the line, and with no higher fence than any it has
+// answered: the poll may be executed late, and a later incarnation that has answered a higher
+// one refuses it then.
 func (c *Commander) pollAttempt(worker string, s *workerState, l *line, now time.Time) attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := attempt{to: c.pollTarget(worker, s, l), heard: s.incarnation, sent: now}
-	if s.usable(l) {
+	if s.usable(l) && a.to.Fence <= s.fence {
 		a.to.Values = c.renewal(s, now).WithAcked(s.acked)
 	}
 	return a
