--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -174,6 +174,7 @@
 	e.journal.Logger = logger
 	e.adviser = adviser.New(p.Advice)
 	e.linker = &linker.Linker{Viewer: e.controller, Sink: e.controller, Journal: e.journal, Adviser: e.adviser, Log: p.Platform, Logger: logger}
+	e.linker.Memory = limiter.NewBudgets(s.Memory<<20, s.Descriptors).Bytes
 	e.linker.OnAnnounced = func(values []replicator.Value) { e.submitJobs(values, false) }
 	e.relayer.Relay = e.linker
 	gate := gatekeeper.New(e.controller, time.Now, logger)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -119,7 +119,9 @@
 	Log         Appender                        // direct access to the log, without a relay
 	OnAnnounced func(values []replicator.Value) // called with values that another entry has added to the stream of jobs
 	Logger      logrus.FieldLogger
+	Memory      int64 // bytes that requests of other entries may take while they wait
 
+	requests   room       // of Memory
 	submitting sync.Mutex // held from reading the linked entries until they are submitted, so that an older set never arrives last
 
 	mu        sync.Mutex
@@ -173,11 +175,10 @@
 	}
 }
 
-// connect starts the protocol on a connection. Each request is handled in a
-// goroutine of its own.
+// connect starts the protocol on a connection.
 func (l *Linker) connect(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(conn, framer.New(conn))
-	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.handle)))
+	return jsonrpc2.NewConn(ctx, stream, newAnswerer(l.handle, &l.requests, l.Memory))
 }
 
 // reportLead submits who leads if its epoch is later than the known one. An entry
