--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -18,11 +18,11 @@
 // log is at most 2 MB, a third more as text.
 const maxMessageBytes = 16 << 20
 
-// Meter counts the bytes of a message that is arriving.
+// Meter counts the bytes of a message that is arriving or being handled.
 type Meter interface {
 	// Hold counts bytes that have arrived. It returns an error if there is no memory for them.
 	Hold(n int) error
-	// Release ends the message.
+	// Release ends the message, if there was one.
 	Release()
 }
 
@@ -39,8 +39,11 @@
 	return Codec{meter: meter}
 }
 
-// ReadObject reads a message.
+// ReadObject reads a message. Its bytes count until the next call: by then it has been handled.
 func (c Codec) ReadObject(stream *bufio.Reader, v any) error {
+	if c.meter != nil {
+		c.meter.Release()
+	}
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -48,9 +51,6 @@
 	if size > maxMessageBytes {
 		return errors.Newf("a message of %d bytes, at most %d are allowed", size, maxMessageBytes)
 	}
-	if c.meter != nil {
-		defer c.meter.Release()
-	}
 	data, err := limiter.ReadAll(c.metered(io.LimitReader(stream, int64(size))), int64(size))
 	if err != nil {
 		return err
--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Hold holds bytes of a message that is arriving.
+// Hold holds bytes of a message that is arriving or being handled.
 func (c *conn) Hold(n int) error {
 	if n == 0 {
 		return nil
