--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -127,7 +128,7 @@
 	case methodConfig:
 		return g.viewer.Snapshot().Config, nil
 	}
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + r.Method + " is not known"}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: fmt.Sprintf("method %.64q is not known", r.Method)}
 }
 
 // handleHello submits a full digest and returns that of this entry.
