--- a/cmd/soaker/cell.go
+++ b/cmd/soaker/cell.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 3 * time.Second}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
 	context.AfterFunc(c.ctx, func() { _ = server.Close() })
 	c.group.Go(func() error {
 		_ = server.Serve(l)
@@ -175,7 +175,7 @@
 	for _, front := range c.fronts {
 		ready := strings.TrimSuffix(front, fmt.Sprint(frontPort)) + fmt.Sprint(readyPort)
 		for !c.isReady(ready) {
-			if err := pause(ctx, 50*time.Millisecond); err != nil {
+			if err := pause(ctx, readyInterval); err != nil {
 				return errors.Join(errors.New("an entry is not ready"), err)
 			}
 		}
@@ -263,5 +263,11 @@
 	}
 }
 
-// callTimeout is how long a client waits for an answer.
-const callTimeout = 3 * time.Second
+const (
+	// callTimeout is how long a client waits for an answer.
+	callTimeout = 3 * time.Second
+	// headTimeout bounds the heads of requests to outside systems.
+	headTimeout = 3 * time.Second
+	// readyInterval is the time between two looks at an entry that starts.
+	readyInterval = 50 * time.Millisecond
+)
--- a/cmd/soaker/soak.go
+++ b/cmd/soaker/soak.go
@@ -19,9 +19,12 @@
 	finishTime = 14 * time.Second
 	watchTime  = 5 * time.Second
 	// leadTime is how long the cell runs before the traffic.
-	leadTime    = 2 * time.Second
-	soakClients = 24
-	maxTroubles = 10
+	leadTime = 2 * time.Second
+	// lookInterval is the time between two looks at the jobs that stand at the end, lastingInterval at lasting tasks.
+	lookInterval    = 100 * time.Millisecond
+	lastingInterval = 200 * time.Millisecond
+	soakClients     = 24
+	maxTroubles     = 10
 )
 
 // soak plays traffic and troubles on a cell of real processes and judges what clients and
@@ -169,7 +172,7 @@
 	if pause(s.ctx, finishTime) == nil {
 		for until := time.Now().Add(watchTime); time.Now().Before(until) && len(broken) == 0; {
 			broken = append(broken, s.cell.standing(time.Now())...)
-			_ = pause(s.ctx, 100*time.Millisecond)
+			_ = pause(s.ctx, lookInterval)
 		}
 	}
 	stop()
@@ -181,7 +184,7 @@
 
 // watchLasting looks for lasting tasks that are down, until the context ends.
 func (s *soak) watchLasting(ctx context.Context) error {
-	for pause(ctx, 200*time.Millisecond) == nil {
+	for pause(ctx, lastingInterval) == nil {
 		if down := s.cell.lastingDown(time.Now(), s.calmSince()); len(down) > 0 {
 			s.mu.Lock()
 			s.broken = append(s.broken, down...)
--- a/cmd/soaker/trouble.go
+++ b/cmd/soaker/trouble.go
@@ -26,25 +26,43 @@
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
+// span bounds a time that is drawn.
+type span struct{ least, most time.Duration }
+
+func (s span) draw(r *rand.Rand) time.Duration { return between(r, s.least, s.most) }
+
+var (
+	notRunning  = span{200 * time.Millisecond, 3 * time.Second} // from the end of a process to its start
+	rollGap     = span{300 * time.Millisecond, 2 * time.Second} // between two entries that are stopped
+	frozen      = span{300 * time.Millisecond, 4 * time.Second}
+	heldBack    = span{3 * time.Second, 8 * time.Second} // how long slices and jitter last
+	jitter      = span{10 * time.Millisecond, 250 * time.Millisecond}
+	dark        = span{300 * time.Millisecond, 4 * time.Second} // without power
+	storeDelay  = span{50 * time.Millisecond, 300 * time.Millisecond}
+	storeSlow   = span{time.Second, 5 * time.Second}
+	storeAway   = span{500 * time.Millisecond, 4 * time.Second}
+	oddEntryFor = span{time.Second, 4 * time.Second}
+)
+
 func playTerm(s *soak, r *rand.Rand) { s.playAnyAway(r, (*process).stop) }
 
 func playKill(s *soak, r *rand.Rand) { s.playAnyAway(r, (*process).kill) }
 
 func (s *soak) playAnyAway(r *rand.Rand, end func(*process)) {
 	p := s.anyEntry(r)
-	s.playAway(p, between(r, 200*time.Millisecond, 3*time.Second), end)
+	s.playAway(p, notRunning.draw(r), end)
 }
 
 // playAway ends a process and starts it again some time later.
-func (s *soak) playAway(p *process, away time.Duration, end func(*process)) {
+func (s *soak) playAway(p *process, length time.Duration, end func(*process)) {
 	end(p)
-	_ = pause(s.ctx, away)
+	_ = pause(s.ctx, length)
 	s.failed(p.start())
 }
 
 // playRoll stops several entries, one soon after the other.
 func playRoll(s *soak, r *rand.Rand) {
-	gap := between(r, 300*time.Millisecond, 2*time.Second)
+	gap := rollGap.draw(r)
 	for i, at := range r.Perm(len(s.cell.entries))[:len(s.cell.entries)/2] {
 		if i > 0 && pause(s.ctx, gap) != nil {
 			return
@@ -58,7 +76,7 @@
 func playFreeze(s *soak, r *rand.Rand) {
 	p := s.anyEntry(r)
 	p.signal(syscall.SIGSTOP)
-	_ = pause(s.ctx, between(r, 300*time.Millisecond, 4*time.Second))
+	_ = pause(s.ctx, frozen.draw(r))
 	p.signal(syscall.SIGCONT)
 }
 
@@ -70,7 +88,7 @@
 // playSlices gives each entry a part of each slice of time only, as an enforced share of
 // a processor does.
 func playSlices(s *soak, r *rand.Rand) {
-	until := time.Now().Add(between(r, 3*time.Second, 8*time.Second))
+	until := time.Now().Add(heldBack.draw(r))
 	for time.Now().Before(until) && s.ctx.Err() == nil {
 		for _, p := range s.cell.entries {
 			p.signal(syscall.SIGSTOP)
@@ -85,11 +103,11 @@
 
 // playJitter holds up single entries for a short while each.
 func playJitter(s *soak, r *rand.Rand) {
-	until := time.Now().Add(between(r, 3*time.Second, 8*time.Second))
+	until := time.Now().Add(heldBack.draw(r))
 	for time.Now().Before(until) && s.ctx.Err() == nil {
 		p := s.anyEntry(r)
 		p.signal(syscall.SIGSTOP)
-		_ = pause(s.ctx, between(r, 10*time.Millisecond, 250*time.Millisecond))
+		_ = pause(s.ctx, jitter.draw(r))
 		p.signal(syscall.SIGCONT)
 	}
 }
@@ -98,11 +116,11 @@
 func playCrash(s *soak, r *rand.Rand) {
 	runners := s.cell.allRunners()
 	w := runners[r.IntN(len(runners))]
-	s.darken(w, between(r, 300*time.Millisecond, 4*time.Second))
+	s.darken(w, dark.draw(r))
 }
 
 // darken takes the power from a runner for some time.
-func (s *soak) darken(w *runner, away time.Duration) {
+func (s *soak) darken(w *runner, length time.Duration) {
 	w.mu.Lock()
 	up := w.up
 	w.mu.Unlock()
@@ -110,7 +128,7 @@
 		return
 	}
 	w.goDark()
-	_ = pause(s.ctx, away)
+	_ = pause(s.ctx, length)
 	w.comeBack()
 }
 
@@ -135,14 +153,14 @@
 }
 
 func playSlowStore(s *soak, r *rand.Rand) {
-	s.cell.store.disturb(between(r, 50*time.Millisecond, 300*time.Millisecond), false)
-	_ = pause(s.ctx, between(r, time.Second, 5*time.Second))
+	s.cell.store.disturb(storeDelay.draw(r), false)
+	_ = pause(s.ctx, storeSlow.draw(r))
 	s.cell.store.disturb(0, false)
 }
 
 func playStoreAway(s *soak, r *rand.Rand) {
 	s.cell.store.disturb(0, true)
-	_ = pause(s.ctx, between(r, 500*time.Millisecond, 4*time.Second))
+	_ = pause(s.ctx, storeAway.draw(r))
 	s.cell.store.disturb(0, false)
 }
 
@@ -154,6 +172,6 @@
 func playOddEntry(s *soak, r *rand.Rand) {
 	entries := oddEntries()
 	s.cell.store.putRaw("keyed.servers", "odd", entries[r.IntN(len(entries))])
-	_ = pause(s.ctx, between(r, time.Second, 4*time.Second))
+	_ = pause(s.ctx, oddEntryFor.draw(r))
 	s.cell.store.put("keyed.servers", "odd", nil)
 }
