--- a/internal/limiter/evict_test.go
+++ b/internal/limiter/evict_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -123,3 +124,31 @@
 	assert.ErrorIs(t, group.Wait(), http.ErrServerClosed)
 	assert.Equal(t, len(reasons), 0)
 }
+
+// answerSize is more than the sockets of a connection hold.
+const answerSize = 16 << 20
+
+// Guards against connections that keep all places for as long as nobody reads their answers.
+func TestAnAnswerThatNobodyReadsGivesWay(t *testing.T) {
+	s := newServer(t, 1<<20, 1)
+	writing := make(chan struct{}, 1)
+	s.before = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			writing <- struct{}{}
+			_, _ = w.Write(make([]byte, answerSize))
+		}
+	}
+	var large []net.Conn
+	for range 2 { // one more than the most is room
+		conn := s.dial(t)
+		send(t, conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-writing
+		large = append(large, conn)
+	}
+	next := s.dial(t)
+	send(t, next, head(100))
+	assert.Equal(t, status(t, next), http.StatusOK)
+	assert.Assert(t, len(s.reasons) > 0, "no connection was closed for another")
+	n, err := io.Copy(io.Discard, large[0])
+	assert.Assert(t, n < answerSize, "%d bytes were read, %v", n, err)
+}
