--- a/internal/linker/answerer.go
+++ b/internal/linker/answerer.go
@@ -11,14 +11,13 @@
 )
 
 const (
-	// maxAnswers bounds the requests on one connection that are answered from memory, and the answers that wait to
-	// be written.
+	// maxAnswers bounds the requests on one connection that are answered without room.
 	maxAnswers = 2
 	// answerTimeout bounds the wait of the next one. A peer that reads so slowly fails its pings as well.
 	answerTimeout = 3 * time.Second
 	// maxNameBytes bounds the parts of a request that its answer repeats.
 	maxNameBytes = 128
-	// requestBytes is the memory of a request that waits, beside its params, which are held twice: as they arrived
+	// requestBytes is the memory of a request, beside its params, which are held twice: as they arrived
 	// and decoded.
 	requestBytes = 16 << 10
 )
@@ -26,10 +25,9 @@
 // handler answers a request.
 type handler func(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error)
 
-// answerer answers the requests on one connection, each in a goroutine of its own. While maxAnswers are in
-// progress it reads no further message. Requests that wait for something else don't count before they have been
-// carried out, since pings must not wait for them; they take up a part of the room instead, and are refused if
-// there is none.
+// answerer answers the requests on one connection, each in a goroutine of its own. A request takes up a part of the
+// room until its answer is written. If there is none, one that would wait for something else is refused, and all
+// need one of maxAnswers places: without one, no further message is read. Pings are answered so all the same.
 type answerer struct {
 	handle handler
 	room   *room
@@ -60,24 +58,28 @@
 		_ = rpc.Close()
 		return
 	}
-	handle, bytes := a.handle, bytesOf(r)
-	if bytes > 0 && !a.room.take(&a.held, bytes, a.memory) {
-		handle, bytes = refuse, 0
+	bytes := int64(requestBytes)
+	if r.Params != nil {
+		bytes += 2 * int64(len(*r.Params))
 	}
-	if bytes == 0 && !a.take(ctx) {
+	if a.room.take(&a.held, bytes, a.memory) {
+		a.group.Go(func() error {
+			defer a.room.give(&a.held, bytes)
+			return a.answer(ctx, rpc, r, a.handle)
+		})
+		return
+	}
+	handle := a.handle
+	if waits(r.Method) {
+		handle = refuse
+	}
+	if !a.take(ctx) {
 		_ = rpc.Close()
 		return
 	}
 	a.group.Go(func() error {
-		result, err := handle(ctx, rpc, r)
-		if bytes > 0 {
-			defer a.room.give(&a.held, bytes)
-			if !a.take(ctx) {
-				return rpc.Close()
-			}
-		}
 		defer a.leave()
-		return send(ctx, rpc, r, result, err)
+		return a.answer(ctx, rpc, r, handle)
 	})
 	if !a.take(ctx) {
 		_ = rpc.Close()
@@ -86,20 +88,13 @@
 	a.leave()
 }
 
-// bytesOf returns the memory of a request that waits, 0 if it is answered from memory.
-func bytesOf(r *jsonrpc2.Request) int64 {
-	if !waits(r.Method) || r.Params == nil {
-		return 0
-	}
-	return requestBytes + 2*int64(len(*r.Params))
-}
-
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: codeCongested, Message: "too many requests of other entries wait"}
 }
 
-// send answers a request, unless it is a notification.
-func send(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request, result any, err error) error {
+// answer carries out a request and answers it, unless it is a notification.
+func (a *answerer) answer(ctx context.Context, rpc *jsonrpc2.Conn, r *jsonrpc2.Request, handle handler) error {
+	result, err := handle(ctx, rpc, r)
 	if r.Notif {
 		return nil
 	}
@@ -132,7 +127,7 @@
 
 func (a *answerer) leave() { <-a.places }
 
-// room is the memory for requests that wait, of all connections.
+// room is the memory for requests of all connections.
 type room struct {
 	mu   sync.Mutex
 	used int64
