--- /dev/null
+++ b/review/_standin3/main.go
@@ -0,0 +1,40 @@
+// Command standin3 plays the cases of the third review: it starts entries as processes with
+// stand-ins of the platform's store, the runners and the clients, and checks one rule.
+//
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+func main() {
+	program := flag.String("program", "target/endivelock", "the program of the deploy file")
+	name := flag.String("case", "", "the case to play")
+	file := flag.String("record", "record.txt", "where to record what was sent, answered and run")
+	flag.Parse()
+	trouble := os.Getenv("TROUBLE") != "0"
+	play, ok := map[string]func(program string, trouble bool) bool{
+		"cancel": playCancel, "saved": playSaved, "outage": playOutage, "queued": playQueued,
+	}[*name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "no such case:", *name)
+		os.Exit(2)
+	}
+	var err error
+	if record, err = os.Create(*file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	broken := play(*program, trouble)
+	current.end()
+	if err := record.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
