--- a/review/_standin3/cell.go
+++ b/review/_standin3/cell.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -86,13 +87,25 @@
 
 var current *cell // whose processes end with this one
 
+// given holds the ports that freeAddress has returned.
+var given = map[int]bool{}
+
+// freeAddress returns an address of the loopback interface with a free port. The port is below
+// those that the system gives to connections, so it stays free until its process listens.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannot(err)
+	for {
+		port := 10000 + rand.IntN(20000)
+		if given[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		given[port] = true
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // newCell starts the stand-ins of a deployment with a number of entries and runners.
