--- a/review/_standin3/large.go
+++ b/review/_standin3/large.go
@@ -43,10 +43,13 @@
 
 // stalled checks for jobs whether one has nothing running for 3 s while its tasks' turn has come.
 // A task's turn comes when the steps before its own are done; no job here waits for a time.
-func (c *cell) stalled(jobs map[string]int) bool {
+func (c *cell) stalled(jobs map[string]int) bool { return c.stalledFor(jobs, 4*time.Second) }
+
+// stalledFor is stalled for a given time.
+func (c *cell) stalledFor(jobs map[string]int, lasts time.Duration) bool {
 	broken := false
 	idle := map[string]time.Time{}
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for id, tasks := range jobs {
 			running, _, done := watch.counts(id)
 			since, counts := idle[id]
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -17,7 +17,7 @@
 	flag.Parse()
 	trouble := os.Getenv("TROUBLE") != "0"
 	play, ok := map[string]func(program string, trouble bool) bool{
-		"cancel": playCancel, "saved": playSaved, "outage": playOutage, "queued": playQueued,
+		"cancel": playCancel, "saved": playSaved, "outage": playOutage, "queued": playQueued, "poison": playPoison,
 	}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
--- a/review/_standin3/runner.go
+++ b/review/_standin3/runner.go
@@ -20,6 +20,7 @@
 // runner stands in for a runner. It does what PROTOCOL.md says under "Running tasks".
 type runner struct {
 	id, addr, zone, rack string
+	kind                 string
 	cpu, memory          int64
 	began                time.Time
 	saved                func(t *execution, worked time.Duration) string // checkpoint of a run; nil for none
@@ -61,7 +62,7 @@
 
 func newRunner(i int, service, zone, rack string) *runner {
 	r := &runner{
-		id: fmt.Sprintf("i-%08x", 0x7f3a9000+i), zone: zone, rack: rack, service: service, cpu: 64000, memory: 262144, began: time.Now(),
+		id: fmt.Sprintf("i-%08x", 0x7f3a9000+i), zone: zone, rack: rack, kind: "a", service: service, cpu: 64000, memory: 262144, began: time.Now(),
 		changed: make(chan struct{}), running: map[string]*execution{}, barred: map[string]int{},
 	}
 	r.addr = serve(r)
@@ -78,7 +79,7 @@
 	r.seq++
 	m := map[string]any{
 		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"room": map[string]int64{"cpu": r.cpu, "mem_mb": r.memory, "gpu": 0}, "labels": []string{"a", r.rack}, "clock_ms": r.clock(),
+		"room": map[string]int64{"cpu": r.cpu, "mem_mb": r.memory, "gpu": 0}, "labels": []string{r.kind, r.rack}, "clock_ms": r.clock(),
 		"seq": r.seq, "born": r.began.UnixMilli(),
 	}
 	if r.draining {
