--- a/review/_standin3/cell.go
+++ b/review/_standin3/cell.go
@@ -27,38 +27,9 @@
 	finish = 14 * time.Second
 )
 
-// began is when the case began; the record counts from it.
-var (
-	began  = time.Now()
-	record *os.File
-	noted  sync.Mutex
-)
-
-func note(format string, args ...any) {
-	line := fmt.Sprintf("%8d ", time.Since(began).Milliseconds()) + fmt.Sprintf(format, args...) + "\n"
-	noted.Lock()
-	defer noted.Unlock()
-	_, _ = record.WriteString(line)
-}
-
-// say notes a line and prints it.
-func say(format string, args ...any) {
-	note(format, args...)
-	fmt.Printf(format+"\n", args...)
-}
-
-// serve serves a handler at a free port of the loopback interface and returns its address.
-func serve(h http.Handler) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannot(err)
-	}
-	go func() { _ = http.Serve(l, h) }()
-	return l.Addr().String()
-}
-
 // cell is a small deployment: entries as processes, and stand-ins of the rest.
 type cell struct {
+	*recorder
 	program string
 	folder  string // temporary
 	store   *store
@@ -66,6 +37,7 @@
 	runners []*runner
 	entries []*entry
 	client  http.Client
+	ports   map[int]bool // that freeAddress has returned
 }
 
 type entry struct {
@@ -76,26 +48,12 @@
 	exited                          chan struct{}
 }
 
-// cannot ends the program: the case couldn't run.
-func cannot(err error) {
-	fmt.Fprintln(os.Stderr, "the case couldn't run:", err)
-	if current != nil {
-		current.end()
-	}
-	os.Exit(2)
-}
-
-var current *cell // whose processes end with this one
-
-// given holds the ports that freeAddress has returned.
-var given = map[int]bool{}
-
 // freeAddress returns an address of the loopback interface with a free port. The port is below
 // those that the system gives to connections, so it stays free until its process listens.
-func freeAddress() string {
+func (c *cell) freeAddress() string {
 	for {
 		port := 10000 + rand.IntN(20000)
-		if given[port] {
+		if c.ports[port] {
 			continue
 		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -103,22 +61,22 @@
 			continue
 		}
 		_ = l.Close()
-		given[port] = true
+		c.ports[port] = true
 		return l.Addr().String()
 	}
 }
 
 // newCell starts the stand-ins of a deployment with a number of entries and runners.
-func newCell(program string, entries, runners int) *cell {
+func newCell(out *recorder, program string, entries, runners int) *cell {
 	folder, err := os.MkdirTemp("", "standin3-")
 	if err != nil {
-		cannot(err)
+		out.cannot(err)
 	}
-	c := &cell{program: program, folder: folder, store: newStore(), client: http.Client{
+	c := &cell{recorder: out, program: program, folder: folder, store: newStore(out), ports: map[int]bool{}, client: http.Client{
 		Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
-	current = c
-	c.addr = serve(c.store)
+	out.end = c.end
+	c.addr = c.serve(c.store)
 	config := map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
@@ -132,11 +90,11 @@
 	c.store.put("keyed.op", "config", data)
 	zones := []string{"muc-nord", "muc-sued", "nue-hafen", "ros-alpen"}
 	for i := range runners {
-		c.runners = append(c.runners, newRunner(i, service, zones[i%len(zones)], fmt.Sprintf("r1-%d", i/6)))
+		c.runners = append(c.runners, newRunner(out, i, service, zones[i%len(zones)], fmt.Sprintf("r1-%d", i/6)))
 	}
-	go c.heartbeats()
+	c.group.Go(c.heartbeats)
 	for i := range entries {
-		e := &entry{name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], callers: freeAddress(), ready: freeAddress(), peers: freeAddress(), exporter: freeAddress()}
+		e := &entry{name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], callers: c.freeAddress(), ready: c.freeAddress(), peers: c.freeAddress(), exporter: c.freeAddress()}
 		c.entries = append(c.entries, e)
 		c.settings(e)
 	}
@@ -144,7 +102,7 @@
 }
 
 // heartbeats writes what runners say of themselves to the store, one life of each every 1.5 s.
-func (c *cell) heartbeats() {
+func (c *cell) heartbeats() error {
 	for ; ; time.Sleep(1500 * time.Millisecond) {
 		for _, r := range c.runners {
 			c.store.put("keyed.servers", r.id, r.record())
@@ -174,7 +132,7 @@
 descriptors: 4100
 `, e.name, e.zone, e.callers, e.ready, e.peers, e.exporter, c.addr)
 	if err := os.WriteFile(c.file(e, "yaml"), []byte(text), 0o600); err != nil {
-		cannot(err)
+		c.cannot(err)
 	}
 }
 
@@ -184,27 +142,28 @@
 func (c *cell) start(e *entry) {
 	log, err := os.OpenFile(c.file(e, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		cannot(err)
+		c.cannot(err)
 	}
 	p := exec.Command(c.program, "schedule", "--config", c.file(e, "yaml"))
 	p.Stdout, p.Stderr = log, log
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.Start(); err != nil {
-		cannot(err)
+		c.cannot(err)
 	}
 	exited := make(chan struct{})
 	e.log, e.process, e.exited = log, p, exited
-	note("entry %s starts", e.name)
-	go func() {
+	c.note("entry %s starts", e.name)
+	c.group.Go(func() error {
 		_ = p.Wait()
-		note("entry %s has exited", e.name)
+		c.note("entry %s has exited", e.name)
 		close(exited)
-	}()
+		return nil
+	})
 }
 
 // signal sends a signal to the process of an entry.
 func (c *cell) signal(e *entry, s syscall.Signal) {
-	note("entry %s gets %v", e.name, s)
+	c.note("entry %s gets %v", e.name, s)
 	_ = e.process.Process.Signal(s)
 	if s == syscall.SIGKILL {
 		<-e.exited
@@ -243,16 +202,16 @@
 			break
 		}
 		if time.Now().After(limit) {
-			cannot(errors.New("the entries aren't ready"))
+			c.cannot(errors.New("the entries aren't ready"))
 		}
 	}
 	time.Sleep(2 * time.Second) // so that the entries have linked
 	first := "00000000000000ff"
 	if status, _ := c.submit(c.entries[0], first, `{"spec":"ms=200","steps":[{"count":1,"cpu":500,"mem_mb":64,"est_ms":200}]}`); status != http.StatusOK {
-		cannot(fmt.Errorf("the first job is answered with %d", status))
+		c.cannot(fmt.Errorf("the first job is answered with %d", status))
 	}
 	if !c.until(5*time.Second, func() bool { return c.state(c.entries[0], first) == "complete" }) {
-		cannot(errors.New("the first job isn't complete"))
+		c.cannot(errors.New("the first job isn't complete"))
 	}
 }
 
@@ -269,7 +228,7 @@
 func (c *cell) call(e *entry, method, id, body string) (int, string) {
 	q, err := http.NewRequest(method, "http://"+e.callers+prefix+id, bytes.NewReader([]byte(body)))
 	if err != nil {
-		cannot(err)
+		c.cannot(err)
 	}
 	q.Host = host
 	q.Header.Set("Content-Type", "application/json")
@@ -277,12 +236,12 @@
 	sent := time.Now()
 	response, err := c.client.Do(q)
 	if err != nil {
-		note("client: %s %s at %s: no answer after %d ms", method, id, e.name, time.Since(sent).Milliseconds())
+		c.note("client: %s %s at %s: no answer after %d ms", method, id, e.name, time.Since(sent).Milliseconds())
 		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, _ := io.ReadAll(response.Body)
-	note("client: %s %s at %s: %d %s after %d ms", method, id, e.name, response.StatusCode, strings.TrimSpace(string(text)), time.Since(sent).Milliseconds())
+	c.note("client: %s %s at %s: %d %s after %d ms", method, id, e.name, response.StatusCode, strings.TrimSpace(string(text)), time.Since(sent).Milliseconds())
 	return response.StatusCode, string(text)
 }
 
@@ -325,11 +284,12 @@
 	runs    map[string]int // running, by job
 	starts  map[string]int
 	done    map[string]map[string]bool // tasks that ended done, by job
-	busy    int64                      // processor time in use, if each task uses cpu
 	onStart func(r *runner, e *execution, late bool)
 }
 
-var watch = &watcher{runs: map[string]int{}, starts: map[string]int{}, done: map[string]map[string]bool{}}
+func newWatcher() *watcher {
+	return &watcher{runs: map[string]int{}, starts: map[string]int{}, done: map[string]map[string]bool{}}
+}
 
 func jobOf(task string) string { return task[:strings.IndexByte(task, '.')] }
 
--- a/review/_standin3/large.go
+++ b/review/_standin3/large.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // largeJob returns the body of a job with many small tasks, each of which takes a time.
@@ -51,7 +52,7 @@
 	idle := map[string]time.Time{}
 	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for id, tasks := range jobs {
-			running, _, done := watch.counts(id)
+			running, _, done := c.watch.counts(id)
 			since, counts := idle[id]
 			switch {
 			case running > 0 || done >= tasks:
@@ -59,7 +60,7 @@
 			case !counts:
 				idle[id] = time.Now()
 			case time.Since(since) > 3*time.Second:
-				say("LOST: job %s has had nothing running for 3 s with %d of %d tasks done, while %d tasks run at all runners", id, done, tasks, watch.all())
+				c.say("LOST: job %s has had nothing running for 3 s with %d of %d tasks done, while %d tasks run at all runners", id, done, tasks, c.watch.all())
 				idle[id] = time.Now().Add(time.Hour)
 				broken = true
 			}
@@ -72,62 +73,60 @@
 // time that the client waits, three times in a row.
 func (c *cell) asked(jobs map[string]int) bool {
 	var broken atomic.Bool
-	var group sync.WaitGroup
+	var group errgroup.Group
 	for _, e := range c.entries {
 		for id := range jobs {
-			group.Add(1)
-			go func() {
-				defer group.Done()
+			group.Go(func() error {
 				state := ""
 				for range 3 {
 					if state = c.state(e, id); state != "" {
 						break
 					}
 				}
-				_, starts, done := watch.counts(id)
-				say("entry %s gives the state of job %s as %q; %d of its tasks were started, %d are done", e.name, id, state, starts, done)
+				_, starts, done := c.watch.counts(id)
+				c.say("entry %s gives the state of job %s as %q; %d of its tasks were started, %d are done", e.name, id, state, starts, done)
 				if state == "" || state == "gone" {
-					say("LOST: job %s was accepted, and entry %s doesn't tell its state in time", id, e.name)
+					c.say("LOST: job %s was accepted, and entry %s doesn't tell its state in time", id, e.name)
 					broken.Store(true)
 				}
-			}()
+				return nil
+			})
 		}
 	}
-	group.Wait()
+	_ = group.Wait()
 	return broken.Load()
 }
 
 // stuck says for each entry whether it ends at SIGTERM within grace_s.
 func (c *cell) stuck() {
-	var group sync.WaitGroup
+	var group errgroup.Group
 	for _, e := range c.entries {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() error {
 			c.signal(e, syscall.SIGTERM)
 			select {
 			case <-e.exited:
 			case <-time.After(6 * time.Second):
-				say("entry %s has not ended 6 s after SIGTERM", e.name)
+				c.say("entry %s has not ended 6 s after SIGTERM", e.name)
 			}
-		}()
+			return nil
+		})
 	}
-	group.Wait()
+	_ = group.Wait()
 }
 
 // playCancel has two large jobs cancelled right after the leader was killed, while six others go
 // on. Without the trouble nothing is killed.
-func playCancel(program string, trouble bool) bool {
+func playCancel(out *recorder, program string, trouble bool) bool {
 	const tasks = 2150
-	c := newCell(program, 3, 48)
+	c := newCell(out, program, 3, 48)
 	c.begin()
 	large := []string{id(0), id(1)}
 	for i, job := range large {
 		if !c.accept(i, job, largeJob(tasks, time.Minute)) {
-			cannot(fmt.Errorf("job %s was not accepted", job))
+			c.cannot(fmt.Errorf("job %s was not accepted", job))
 		}
-		if !c.until(15*time.Second, func() bool { running, _, _ := watch.counts(job); return running == tasks }) {
-			cannot(fmt.Errorf("the tasks of job %s don't all run", job))
+		if !c.until(15*time.Second, func() bool { running, _, _ := c.watch.counts(job); return running == tasks }) {
+			c.cannot(fmt.Errorf("the tasks of job %s don't all run", job))
 		}
 	}
 	const steps, others = 6, 6
@@ -135,16 +134,16 @@
 	for i := range others {
 		job := id(10 + i)
 		if !c.accept(0, job, chain(steps, 1500*time.Millisecond)) {
-			cannot(fmt.Errorf("job %s was not accepted", job))
+			c.cannot(fmt.Errorf("job %s was not accepted", job))
 		}
 		jobs[job] = 2 * steps
 	}
 	time.Sleep(time.Second)
 	leader := c.leader()
 	if leader == nil {
-		cannot(fmt.Errorf("no entry leads"))
+		c.cannot(fmt.Errorf("no entry leads"))
 	}
-	say("entry %s leads, %d tasks run", leader.name, watch.all())
+	c.say("entry %s leads, %d tasks run", leader.name, c.watch.all())
 	if trouble {
 		c.signal(leader, syscall.SIGKILL)
 	}
@@ -169,11 +168,11 @@
 			c.signal(e, syscall.SIGKILL)
 			c.start(e)
 		}
-		say("all entries were started anew")
+		c.say("all entries were started anew")
 		time.Sleep(finish)
 		c.stalled(jobs)
 		if !c.accept(0, id(3), chain(1, 300*time.Millisecond)) {
-			say("a job of two tasks is accepted by no entry")
+			c.say("a job of two tasks is accepted by no entry")
 		}
 	}
 	c.stuck()
@@ -185,14 +184,14 @@
 
 // playOutage has the store refuse all calls, while the second steps of large jobs become ready one
 // after the other. Without the trouble the store serves on.
-func playOutage(program string, trouble bool) bool {
+func playOutage(out *recorder, program string, trouble bool) bool {
 	const (
 		count = 8
 		tasks = 1500
 		every = 400 * time.Millisecond
 		first = count*every + 300*time.Millisecond
 	)
-	c := newCell(program, 3, 48)
+	c := newCell(out, program, 3, 48)
 	var down atomic.Bool
 	c.store.refused = func(*http.Request) bool { return down.Load() }
 	c.begin()
@@ -201,22 +200,22 @@
 		body := fmt.Sprintf(`{"spec":"ms=%d","steps":[{"count":1,"cpu":500,"mem_mb":64,"est_ms":%d},{"count":%d,"cpu":50,"mem_mb":16,"est_ms":%d,"after":[0]}]}`,
 			first.Milliseconds(), first.Milliseconds(), tasks, first.Milliseconds())
 		if !c.accept(i, id(i), body) {
-			cannot(fmt.Errorf("job %s was not accepted", id(i)))
+			c.cannot(fmt.Errorf("job %s was not accepted", id(i)))
 		}
 		jobs[id(i)] = 1 + tasks
 		time.Sleep(every)
 	}
 	if trouble {
-		say("the store refuses all calls")
+		c.say("the store refuses all calls")
 		down.Store(true)
 		time.Sleep(outage)
 		down.Store(false)
-		say("the store serves again")
+		c.say("the store serves again")
 	}
 	time.Sleep(8 * time.Second)
 	last := id(100)
 	if !c.accept(0, last, chain(1, 300*time.Millisecond)) {
-		cannot(fmt.Errorf("job %s was not accepted", last))
+		c.cannot(fmt.Errorf("job %s was not accepted", last))
 	}
 	time.Sleep(finish)
 	broken := c.asked(map[string]int{last: 2})
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 )
 
 func main() {
@@ -16,20 +17,21 @@
 	file := flag.String("record", "record.txt", "where to record what was sent, answered and run")
 	flag.Parse()
 	trouble := os.Getenv("TROUBLE") != "0"
-	play, ok := map[string]func(program string, trouble bool) bool{
-		"cancel": playCancel, "saved": playSaved, "outage": playOutage, "queued": playQueued, "poison": playPoison,
+	play, ok := map[string]func(out *recorder, program string, trouble bool) bool{
+		"cancel": playCancel, "saved": playSaved, "outage": playOutage, "queued": playQueued, "poison": playPoison, "long": playLong,
 	}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
 		os.Exit(2)
 	}
-	var err error
-	if record, err = os.Create(*file); err != nil {
+	record, err := os.Create(*file)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	broken := play(*program, trouble)
-	current.end()
+	out := &recorder{began: time.Now(), file: record, watch: newWatcher(), end: func() {}}
+	broken := play(out, *program, trouble)
+	out.end()
 	if err := record.Close(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
--- a/review/_standin3/queued.go
+++ b/review/_standin3/queued.go
@@ -18,8 +18,8 @@
 
 // playQueued cancels a large job half a second after it was accepted, while the runners leave a
 // share of the orders unanswered and carry them out late. Without the trouble they answer all.
-func playQueued(program string, trouble bool) bool {
-	c := newCell(program, 3, 8)
+func playQueued(out *recorder, program string, trouble bool) bool {
+	c := newCell(out, program, 3, 8)
 	var late atomic.Bool
 	luck, mu := rand.New(rand.NewPCG(3, 11)), sync.Mutex{}
 	for _, r := range c.runners {
@@ -38,29 +38,29 @@
 	late.Store(trouble)
 	time.AfterFunc(lateFor, func() { late.Store(false) })
 	if !c.accept(0, job, fmt.Sprintf(`{"spec":"ms=60000","steps":[{"count":%d,"cpu":100,"mem_mb":32,"est_ms":60000}]}`, tasks)) {
-		cannot(fmt.Errorf("job %s was not accepted", job))
+		c.cannot(fmt.Errorf("job %s was not accepted", job))
 	}
 	time.Sleep(500 * time.Millisecond)
 	status, _ := c.call(c.entries[0], http.MethodDelete, job, "")
 	acked := time.Now()
 	if status != http.StatusOK {
-		cannot(fmt.Errorf("the cancelling is answered with %d", status))
+		c.cannot(fmt.Errorf("the cancelling is answered with %d", status))
 	}
-	say("job %s is cancelled", job)
+	c.say("job %s is cancelled", job)
 	var after, last int64
-	watch.mu.Lock()
-	watch.onStart = func(r *runner, e *execution, late bool) {
+	c.watch.mu.Lock()
+	c.watch.onStart = func(r *runner, e *execution, late bool) {
 		if since := time.Since(acked); !late && since > cancelTime {
 			after, last = after+1, since.Milliseconds()
-			note("UNASKED: runner %s is told to start %s run %d, %d ms after its cancelling was acknowledged", r.id, e.task, e.run, last)
+			c.note("UNASKED: runner %s is told to start %s run %d, %d ms after its cancelling was acknowledged", r.id, e.task, e.run, last)
 		}
 	}
-	watch.mu.Unlock()
+	c.watch.mu.Unlock()
 	time.Sleep(15 * time.Second)
-	watch.mu.Lock()
-	defer watch.mu.Unlock()
+	c.watch.mu.Lock()
+	defer c.watch.mu.Unlock()
 	if after > 0 {
-		say("UNASKED: %d starts that runners carried out at once came later than %d ms after the cancelling was acknowledged, the last one %d ms after it", after, cancelTime.Milliseconds(), last)
+		c.say("UNASKED: %d starts that runners carried out at once came later than %d ms after the cancelling was acknowledged, the last one %d ms after it", after, cancelTime.Milliseconds(), last)
 	}
 	return after > 0
 }
@@ -70,9 +70,9 @@
 
 // playSaved kills all entries, so that all leases lapse, while a large job runs whose tasks save
 // checkpoints. Without the trouble no entry is killed.
-func playSaved(program string, trouble bool) bool {
+func playSaved(out *recorder, program string, trouble bool) bool {
 	const tasks = 3500
-	c := newCell(program, 3, 48)
+	c := newCell(out, program, 3, 48)
 	for _, r := range c.runners {
 		r.saved = func(e *execution, worked time.Duration) string {
 			return fmt.Sprintf("%0*x", savedLength, worked/saveTime)
@@ -81,10 +81,10 @@
 	c.begin()
 	job := id(0)
 	if !c.accept(0, job, fmt.Sprintf(`{"spec":"ms=12000","steps":[{"count":%d,"cpu":50,"mem_mb":16,"est_ms":12000,"checkpoint":true}]}`, tasks)) {
-		cannot(fmt.Errorf("job %s was not accepted", job))
+		c.cannot(fmt.Errorf("job %s was not accepted", job))
 	}
-	if !c.until(10*time.Second, func() bool { running, _, _ := watch.counts(job); return running == tasks }) {
-		cannot(fmt.Errorf("the tasks of job %s don't all run", job))
+	if !c.until(10*time.Second, func() bool { running, _, _ := c.watch.counts(job); return running == tasks }) {
+		c.cannot(fmt.Errorf("the tasks of job %s don't all run", job))
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
@@ -102,13 +102,13 @@
 	if c.accept(0, second, chain(1, 300*time.Millisecond)) {
 		jobs[second] = 2
 	} else {
-		say("a job of two tasks is accepted by no entry")
+		c.say("a job of two tasks is accepted by no entry")
 	}
 	time.Sleep(finish)
 	broken := c.stalled(jobs)
 	for id := range jobs {
-		_, starts, done := watch.counts(id)
-		say("job %s: %d of %d tasks done, %d starts", id, done, jobs[id], starts)
+		_, starts, done := c.watch.counts(id)
+		c.say("job %s: %d of %d tasks done, %d starts", id, done, jobs[id], starts)
 	}
 	return broken
 }
--- a/review/_standin3/runner.go
+++ b/review/_standin3/runner.go
@@ -19,6 +19,7 @@
 
 // runner stands in for a runner. It does what PROTOCOL.md says under "Running tasks".
 type runner struct {
+	out                  *recorder
 	id, addr, zone, rack string
 	kind                 string
 	cpu, memory          int64
@@ -35,11 +36,8 @@
 	barred   map[string]int // highest run stopped or ended, by task
 	ended    []end
 	lastEnd  int64
-	draining bool
-	leavesIn time.Duration
 	seq      int
 	service  string
-	clockAdd int64
 }
 
 type execution struct {
@@ -60,13 +58,17 @@
 	saved  string
 }
 
-func newRunner(i int, service, zone, rack string) *runner {
+func newRunner(out *recorder, i int, service, zone, rack string) *runner {
+	kind := "a" // or b, as of every third runner of the site
+	if i%3 == 2 {
+		kind = "b"
+	}
 	r := &runner{
-		id: fmt.Sprintf("i-%08x", 0x7f3a9000+i), zone: zone, rack: rack, kind: "a", service: service, cpu: 64000, memory: 262144, began: time.Now(),
+		out: out, id: fmt.Sprintf("i-%08x", 0x7f3a9000+i), zone: zone, rack: rack, kind: kind, service: service, cpu: 64000, memory: 262144, began: time.Now(),
 		changed: make(chan struct{}), running: map[string]*execution{}, barred: map[string]int{},
 	}
-	r.addr = serve(r)
-	go r.expire()
+	r.addr = out.serve(r)
+	out.group.Go(r.expire)
 	return r
 }
 
@@ -82,21 +84,11 @@
 		"room": map[string]int64{"cpu": r.cpu, "mem_mb": r.memory, "gpu": 0}, "labels": []string{r.kind, r.rack}, "clock_ms": r.clock(),
 		"seq": r.seq, "born": r.began.UnixMilli(),
 	}
-	if r.draining {
-		m["state"], m["drain_left_ms"] = "draining", r.leavesIn.Milliseconds()
-	}
 	data, _ := json.Marshal(m)
 	return data
 }
 
-// drain has the runner report that it leaves.
-func (r *runner) drain(leavesIn time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.draining, r.leavesIn = true, leavesIn
-}
-
-func (r *runner) expire() {
+func (r *runner) expire() error {
 	for range time.Tick(20 * time.Millisecond) {
 		r.mu.Lock()
 		lapsed := r.clock() >= r.deadline
@@ -114,6 +106,7 @@
 		}
 		r.mu.Unlock()
 	}
+	return nil
 }
 
 // finish ends a run. The caller holds the lock.
@@ -129,8 +122,8 @@
 		saved = r.checkpoint(e)
 	}
 	r.ended = append(r.ended, end{r.lastEnd, e.task, e.run, how, saved})
-	note("runner %s ended %s run %d %s", r.id, e.task, e.run, how)
-	watch.ended(r, e, how)
+	r.out.note("runner %s ended %s run %d %s", r.id, e.task, e.run, how)
+	r.out.watch.ended(r, e, how)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -172,7 +165,7 @@
 	}
 	if r.late != nil {
 		if after := r.late(q.URL.Path, b.Task); after > 0 {
-			note("runner %s leaves %s of %s run %d unanswered, to be carried out in %d ms", r.id, q.URL.Path, b.Task, b.Run, after.Milliseconds())
+			r.out.note("runner %s leaves %s of %s run %d unanswered, to be carried out in %d ms", r.id, q.URL.Path, b.Task, b.Run, after.Milliseconds())
 			time.AfterFunc(after, func() { r.order(q.URL.Path, b, true) })
 			<-q.Context().Done()
 			return
@@ -187,7 +180,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	refuse := func(reason string) (int, any) {
-		note("runner %s refuses %s of %s run %d: %s", r.id, path, b.Task, b.Run, reason)
+		r.out.note("runner %s refuses %s of %s run %d: %s", r.id, path, b.Task, b.Run, reason)
 		return http.StatusConflict, map[string]any{"clock_ms": r.clock(), "reason": reason}
 	}
 	if b.Fence < r.fence {
@@ -209,7 +202,7 @@
 		}
 	case "/run-stop":
 		r.barred[b.Task] = max(r.barred[b.Task], b.Run)
-		note("runner %s stops %s run %d", r.id, b.Task, b.Run)
+		r.out.note("runner %s stops %s run %d", r.id, b.Task, b.Run)
 		if e, there := r.running[b.Task]; there && e.run <= b.Run && !e.stop {
 			e.stop = true
 			time.AfterFunc(stopTime, func() {
@@ -237,8 +230,8 @@
 	if late {
 		how = ", late"
 	}
-	note("runner %s starts %s run %d%s", r.id, b.Task, b.Run, how)
-	watch.started(r, e, late)
+	r.out.note("runner %s starts %s run %d%s", r.id, b.Task, b.Run, how)
+	r.out.watch.started(r, e, late)
 }
 
 // extend takes the end of the leases. The caller holds the lock.
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -26,6 +26,7 @@
 // store stands in for the platform's log, as far as endivelock uses it: keyed topics with one
 // partition, conditional appends, producers with epochs, long polls.
 type store struct {
+	out     *recorder
 	mu      sync.Mutex
 	topics  map[string]*topic
 	refused func(r *http.Request) bool // whether a call is turned away with 503; may be nil
@@ -52,7 +53,7 @@
 	body map[string]int64
 }
 
-func newStore() *store { return &store{topics: map[string]*topic{}} }
+func newStore(out *recorder) *store { return &store{out: out, topics: map[string]*topic{}} }
 
 func (s *store) topic(name string) *topic {
 	s.mu.Lock()
@@ -113,7 +114,7 @@
 	}
 	records, ok := splitRecords(body)
 	if !ok || len(body) > callBytes {
-		note("store refuses an append of %d bytes to %s with 400", len(body), r.URL.Query().Get("topic"))
+		s.out.note("store refuses an append of %d bytes to %s with 400", len(body), r.URL.Query().Get("topic"))
 		reply(w, http.StatusBadRequest, map[string]string{"reason": "size"})
 		return
 	}
