--- a/review/_standin3/queued.go
+++ b/review/_standin3/queued.go
@@ -65,8 +65,8 @@
 	return after > 0
 }
 
-// savedLength is how long the values of saved are: 40 hexadecimal digits.
-const savedLength = 40
+// savedLength is how long the values of saved are: the hexadecimal digits of a hash of 256 bits.
+const savedLength = 64
 
 // playSaved kills all entries, so that all leases lapse, while a large job runs whose tasks save
 // checkpoints. Without the trouble no entry is killed.
