Review: doses of cases 13 and 14, and an end of each script

Done: the store of 13 is silent for 4.2 s, as in the site; 14 leaves one order in 19 unanswered; a script ends with 2 after 112 s or a signal.

--- a/review/_standin3/large.go
+++ b/review/_standin3/large.go
@@ -179,10 +179,10 @@
 	return broken
 }
 
-// outage is how long the store refuses all calls.
+// outage is how long the store answers no calls.
 const outage = 4200 * time.Millisecond
 
-// playOutage has the store refuse all calls, while the second steps of large jobs become ready one
+// playOutage has the store answer no calls, while the second steps of large jobs become ready one
 // after the other. Without the trouble the store serves on.
 func playOutage(out *recorder, program string, trouble bool) bool {
 	const (
@@ -193,7 +193,7 @@
 	)
 	c := newCell(out, program, 3, 48)
 	var down atomic.Bool
-	c.store.refused = func(*http.Request) bool { return down.Load() }
+	c.store.silent = down.Load
 	c.begin()
 	jobs := map[string]int{}
 	for i := range count {
@@ -206,11 +206,11 @@
 		time.Sleep(every)
 	}
 	if trouble {
-		c.say("the store refuses all calls")
+		c.say("the store answers no calls")
 		down.Store(true)
 		time.Sleep(outage)
 		down.Store(false)
-		c.say("the store serves again")
+		c.say("the store answers again")
 	}
 	time.Sleep(8 * time.Second)
 	last := id(100)
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -5,12 +5,18 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// longest is how long a case may take.
+const longest = 112 * time.Second
+
 func main() {
 	program := flag.String("program", "target/endivelock", "the program of the deploy file")
 	name := flag.String("case", "", "the case to play")
@@ -30,6 +36,17 @@
 		os.Exit(2)
 	}
 	out := &recorder{began: time.Now(), file: record, watch: newWatcher(), end: func() {}}
+	out.group.Go(func() error {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-stop:
+			out.cannot(errors.New("it was told to stop"))
+		case <-time.After(longest):
+			out.cannot(errors.New("it takes too long"))
+		}
+		return nil
+	})
 	broken := play(out, *program, trouble)
 	out.end()
 	if err := record.Close(); err != nil {
--- a/review/_standin3/queued.go
+++ b/review/_standin3/queued.go
@@ -12,7 +12,7 @@
 
 const (
 	cancelTime = 3 * time.Second // cancel_ms
-	lateShare  = 0.055           // of the orders that runners leave unanswered
+	lateEvery  = 19              // one in so many orders is left unanswered: 0.053 of them
 	lateFor    = 5500 * time.Millisecond
 )
 
@@ -21,12 +21,15 @@
 func playQueued(out *recorder, program string, trouble bool) bool {
 	c := newCell(out, program, 3, 8)
 	var late atomic.Bool
-	luck, mu := rand.New(rand.NewPCG(3, 11)), sync.Mutex{}
+	luck, mu, orders := rand.New(rand.NewPCG(3, 11)), sync.Mutex{}, 0
 	for _, r := range c.runners {
 		r.late = func(string, string) time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
-			if !late.Load() || luck.Float64() >= lateShare {
+			if !late.Load() {
+				return 0
+			}
+			if orders++; orders%lateEvery != 0 {
 				return 0
 			}
 			return 2*time.Second + time.Duration(luck.Int64N(int64(10*time.Second)))
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -29,7 +29,7 @@
 	out     *recorder
 	mu      sync.Mutex
 	topics  map[string]*topic
-	refused func(r *http.Request) bool // whether a call is turned away with 503; may be nil
+	silent  func() bool // whether calls get no answer and do nothing; may be nil
 }
 
 type topic struct {
@@ -74,8 +74,8 @@
 
 // ServeHTTP answers the calls of PROTOCOL.md that begin with /log-.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.refused != nil && s.refused(r) {
-		reply(w, http.StatusServiceUnavailable, map[string]string{})
+	if s.silent != nil && s.silent() {
+		<-r.Context().Done()
 		return
 	}
 	t := s.topic(r.URL.Query().Get("topic"))
