--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -26,10 +26,10 @@
 // store stands in for the platform's log, as far as endivelock uses it: keyed topics with one
 // partition, conditional appends, producers with epochs, long polls.
 type store struct {
-	out     *recorder
-	mu      sync.Mutex
-	topics  map[string]*topic
-	silent  func() bool // whether calls get no answer and do nothing; may be nil
+	out    *recorder
+	mu     sync.Mutex
+	topics map[string]*topic
+	silent func() bool // whether calls get no answer and do nothing; may be nil
 }
 
 type topic struct {
