Answer no order on the control thread, and give none before a worker is heard

Cause: Commander.Order submitted the answer for a worker that is not called itself. It runs on the control thread, so beyond 4,096 such orders in one event the thread waited for its own queue. A new leader gave one for each recorded run of a cancelled job, as it accepts the jobs before any worker is listed. Change: such answers go to an outbox that another goroutine submits from. About an inherited run nothing is ordered before its worker has been heard: the report tells whether it is there, and has it stopped.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -70,7 +70,8 @@
 }
 
 // Commander calls the workers of one leader. Set the exported fields, call Start
-// before any other method, and Wait after the context has ended.
+// before any other method, and Wait after the context has ended. Its methods may be called on
+// the control thread: they don't wait for calls, nor for the Sink.
 type Commander struct {
 	Workers       Workers
 	Sink          Sink
@@ -88,6 +89,7 @@
 	mu     sync.Mutex
 	states map[string]*workerState
 	floor  int64 // no call to a worker that is not watched any more has a higher fence
+	outbox outbox
 }
 
 // Start prepares the commander. The context bounds all its calls.
@@ -99,6 +101,10 @@
 		c.renewInTime(ctx)
 		return nil
 	})
+	c.group.Go(func() error {
+		c.outbox.deliver(ctx, func(a leader.OrderAnswered) { c.Sink.Submit(c.Epoch, a) })
+		return nil
+	})
 }
 
 // renewInTime renews all leases right before the leader's confirmation runs out. A poll in
--- a/internal/commands/commander/orders.go
+++ b/internal/commands/commander/orders.go
@@ -51,7 +51,7 @@
 func (c *Commander) Order(o leader.Order) {
 	s, ok := c.state(o.Worker)
 	if !ok {
-		c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: leader.Refused})
+		c.outbox.put(answerTo(o, leader.Refused))
 		return
 	}
 	silence, withdrawn, valid := s.queue(o)
@@ -93,7 +93,14 @@
 			"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch,
 		}).WithError(err).Warn("order failed")
 	}
-	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcomeOf(err), At: time.Now()})
+	answer := answerTo(o, outcomeOf(err))
+	answer.At = time.Now()
+	c.Sink.Submit(c.Epoch, answer)
+}
+
+// answerTo returns the answer to an order with an outcome.
+func answerTo(o leader.Order, outcome leader.Outcome) leader.OrderAnswered {
+	return leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome}
 }
 
 // tryOrder sends an order on a line on which the incarnation that it is for has answered. It
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -328,13 +328,18 @@
 }
 
 // stopRun orders the stop of a run, or withdraws one whose start has not been sent,
-// and returns the worker.
+// and returns the worker. Nothing is ordered about an inherited run before the worker has
+// been heard: it may be over, and superviseRun stops it if the report lists it.
 func (t *transition) stopRun(w Worker, p Placement, why string) Worker {
 	switch p.Stage {
 	case Recording:
 		return t.putPlacement(w, p.WithStage(Withdrawn))
 	case Withdrawn, Stopping:
 		return w
+	case Inherited:
+		if w.Reachability != Reachable {
+			return w
+		}
 	}
 	w = t.putPlacement(w, p.WithStage(Stopping).WithSent(t.now))
 	t.emit(w.order(OrderStop, p))
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -217,6 +217,9 @@
 		return t.stopRun(w, p, "its job has ended")
 	}
 	step := job.Job.Steps[p.Task.Step]
+	if !step.Gang && (!job.Progress.HasTask(p.Task) || job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Phase == ledger.Done) { // the members of a gang end together
+		return t.stopRun(w, p, "another run of the task is done")
+	}
 	if w = t.moveStraggler(w, p, step); w.stopping(p.key()) {
 		return w
 	}
