Never wait on the control thread for calls, nor for one that has ended

Cause: each order was a goroutine of a group with a limit, for which the next one waited on the control thread, while those that would have made room waited to submit to it. A limit or a queue of any size only moves the number of orders in one event from which on that happens. Change: orders wait in a queue of their worker, each once, from which two goroutines at most send. The groups of commander and conductor have no limit; what they start is bounded by the state. Dropping ended jobs goes through a launcher, which queues what is beyond its bound. Wishes for a poll of one worker share one. Submit drops the event once the control thread has ended, so that the process ends (serve has the same loop). Gauges and the cell lines tell what waits and for how long a batch has taken. Evidence: a hung leader whose cell lines stood at 334 events, and goroutines in errgroup.Go. The emulated cell finds runs of a task by an index, as a check of each start against all runs took seconds with thousands; it tells the same violations.

--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -54,9 +54,6 @@
 	lastRenewal = 250 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
 	maxOrdersPerWorker = 2
-	// maxCalls bounds the polls of all workers and their orders, in flight or
-	// waiting, taken together.
-	maxCalls = 4096
 	// fullReportInterval is the least time between two reports of a worker that list
 	// its running tasks. The reports between them bring ends, which are urgent; the
 	// progress of running tasks is not, and there is much more of it.
@@ -85,7 +82,7 @@
 	Orders        metrics.Timer
 
 	ctx    context.Context
-	group  errgroup.Group
+	group  errgroup.Group // without a limit, which Go would wait for: each worker has a few goroutines at most
 	mu     sync.Mutex
 	states map[string]*workerState
 	floor  int64 // no call to a worker that is not watched any more has a higher fence
@@ -96,13 +93,12 @@
 func (c *Commander) Start(ctx context.Context) {
 	c.ctx = ctx
 	c.states = map[string]*workerState{}
-	c.group.SetLimit(maxCalls)
 	c.group.Go(func() error {
 		c.renewInTime(ctx)
 		return nil
 	})
 	c.group.Go(func() error {
-		c.outbox.deliver(ctx, func(a leader.OrderAnswered) { c.Sink.Submit(c.Epoch, a) })
+		c.outbox.deliver(ctx, c.answerOrder)
 		return nil
 	})
 }
@@ -163,7 +159,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	s := &workerState{address: e.Address, cancel: cancel, silence: leader.FirstSilence(e.Watch), orderSlots: make(chan struct{}, maxOrdersPerWorker), withdrawn: make(chan struct{}), ackChanged: make(chan struct{}, 1)}
+	s := &workerState{address: e.Address, cancel: cancel, silence: leader.FirstSilence(e.Watch), ackChanged: make(chan struct{}, 1)}
 	c.mu.Lock()
 	s.fence = max(c.floor, e.Floor)
 	c.states[e.Worker] = s
@@ -180,7 +176,9 @@
 	defer c.mu.Unlock()
 	if s, ok := c.states[e.Worker]; ok {
 		s.cancel()
-		c.floor = max(c.floor, s.close())
+		fence, withdrawn := s.close()
+		c.floor = max(c.floor, fence)
+		c.outbox.put(errSilent, withdrawn...)
 		delete(c.states, e.Worker)
 	}
 }
@@ -214,6 +212,18 @@
 	}
 }
 
+// Waiting returns the number of orders that wait.
+func (c *Commander) Waiting() int {
+	c.mu.Lock()
+	states := maps.Clone(c.states)
+	c.mu.Unlock()
+	waiting := 0
+	for _, s := range states {
+		waiting += s.waitingOrders()
+	}
+	return waiting
+}
+
 func (c *Commander) state(worker string) (*workerState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/commands/commander/full_sink_test.go
+++ b/internal/commands/commander/full_sink_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/endivelock/endivelock/internal/classifier"
 	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/ledger"
@@ -92,3 +93,39 @@
 		})
 	}
 }
+
+// Guards against the same with workers that are called (review/13): orders beyond a limit of
+// goroutines waited on the control thread for the calls of others, whose answers waited for
+// it. A worker may answer, or be silent.
+func TestOrdersNeverWaitForCalls(t *testing.T) {
+	for _, count := range batches {
+		for name, fail := range map[string]error{"known": nil, "silent": &classifier.Error{Kind: classifier.Unanswered}} {
+			t.Run(fmt.Sprintf("%d %s", count, name), func(t *testing.T) {
+				w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}}
+				silent := func(int) string {
+					w.refuseOrders(fail)
+					if fail != nil {
+						w.set(leader.Report{}, fail)
+					}
+					return "known"
+				}
+				assert.Equal(t, orderBatch(t, count, silent, w), count)
+			})
+		}
+	}
+}
+
+// Guards against a poll for each of thousands of runs that are stopped: those of one worker
+// that are wanted while one is being sent lead to one more.
+func TestExtraPollsOfAWorkerAreSentOneByOne(t *testing.T) {
+	w := &workers{report: leader.Report{Incarnation: 1, Clock: 1000}, hold: 2 * time.Second}
+	c, _ := start(t, w, time.Now)
+	awaitPolls(t, w, 2) // the second waits
+	for range batches[1] {
+		c.Poll(leader.PollNow{Worker: "w"})
+	}
+	awaitPolls(t, w, 3)
+	time.Sleep(50 * time.Millisecond)
+	polls, _ := w.seen()
+	assert.Assert(t, len(polls) < batches[1]/2, "%d polls", len(polls))
+}
--- a/internal/commands/commander/orders.go
+++ b/internal/commands/commander/orders.go
@@ -13,27 +13,25 @@
 // errNotSent marks the errors of orders that were not sent.
 var errNotSent = errors.New("order was not sent")
 
-// errWithdrawn is the error of orders that were given up while they waited: the leader gives
-// up the runs at a worker that stays silent, and may have done so.
-var errWithdrawn = errors.Mark(errors.New("the worker has been silent, or has another caller, since the order was given"), errNotSent)
-
-// queuedOrder is an order and the last silence of the worker before it was given.
-type queuedOrder struct {
-	leader.Order
-	silence int64
-}
+var (
+	// errNotCalled is the error of orders for a worker that is not called.
+	errNotCalled = errors.Mark(errors.New("the worker is not called"), errNotSent)
+	// errSilent is the error of orders that were given up while they waited: the leader gives
+	// up the runs at a worker that stays silent, and may have done so.
+	errSilent = errors.Mark(errors.New("the worker has been silent, or has another caller, since the order was given"), errNotSent)
+)
 
 // orderTarget returns the target of an order on a line. Its error is that of an order that must
 // not be sent: the worker has been silent since the order was given, the incarnation that the
 // order is for has not answered on the line, or another one has been heard since. Orders don't
 // extend leases beyond the deadline that polls have sent, so that the leader knows when
 // they lapse. Only an order that comes before the first such deadline sets one.
-func (c *Commander) orderTarget(s *workerState, l *line, o queuedOrder, now time.Time) (Target, error) {
+func (c *Commander) orderTarget(s *workerState, l *line, o *queuedOrder, now time.Time) (Target, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.closed || s.silence != o.silence:
-		return Target{}, errWithdrawn
+		return Target{}, errSilent
 	case !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation:
 		return Target{}, errors.Mark(errors.Newf("incarnation %d has not answered last", o.Incarnation), errNotSent)
 	}
@@ -46,34 +44,37 @@
 	return to, nil
 }
 
-// Order sends an order and submits its outcome. Orders beyond
-// maxOrdersPerWorker wait, as long as the worker answers polls.
+// Order has an order sent and its outcome submitted. Orders beyond maxOrdersPerWorker wait, as
+// long as the worker answers polls.
 func (c *Commander) Order(o leader.Order) {
 	s, ok := c.state(o.Worker)
 	if !ok {
-		c.outbox.put(answerTo(o, leader.Refused))
+		c.outbox.put(errNotCalled, o)
 		return
 	}
-	silence, withdrawn, valid := s.queue(o)
-	c.group.Go(func() error {
-		if !valid {
-			c.answerOrder(o, errWithdrawn)
+	if err := s.enqueue(o); err != nil {
+		c.outbox.put(err, o)
+		return
+	}
+	if s.addSender() {
+		c.group.Go(func() error {
+			c.sendOrders(s)
 			return nil
-		}
-		select {
-		case s.orderSlots <- struct{}{}:
-			defer func() { <-s.orderSlots }()
-			c.answerOrder(o, c.sendOrder(s, queuedOrder{o, silence}))
-		case <-withdrawn:
-			c.answerOrder(o, errWithdrawn)
-		case <-c.ctx.Done():
-		}
-		return nil
-	})
+		})
+	}
+}
+
+// sendOrders sends the orders to a worker that wait, one after the other, until none is left.
+func (c *Commander) sendOrders(s *workerState) {
+	for o := s.nextOrder(); o != nil && c.ctx.Err() == nil; o = s.nextOrder() {
+		err := c.sendOrder(s, o)
+		s.orderDone(o, err == nil)
+		c.answerOrder(o.Order, err)
+	}
 }
 
 // sendOrder sends an order and returns the error that tells its outcome.
-func (c *Commander) sendOrder(s *workerState, o queuedOrder) error {
+func (c *Commander) sendOrder(s *workerState, o *queuedOrder) error {
 	began := time.Now()
 	kept, err := c.tryOrder(s, o)
 	for kept && classifier.Is(err, classifier.Unsent) {
@@ -93,19 +94,12 @@
 			"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch,
 		}).WithError(err).Warn("order failed")
 	}
-	answer := answerTo(o, outcomeOf(err))
-	answer.At = time.Now()
-	c.Sink.Submit(c.Epoch, answer)
-}
-
-// answerTo returns the answer to an order with an outcome.
-func answerTo(o leader.Order, outcome leader.Outcome) leader.OrderAnswered {
-	return leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome}
+	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcomeOf(err), At: time.Now()})
 }
 
 // tryOrder sends an order on a line on which the incarnation that it is for has answered. It
 // reports whether the line had been used before.
-func (c *Commander) tryOrder(s *workerState, o queuedOrder) (bool, error) {
+func (c *Commander) tryOrder(s *workerState, o *queuedOrder) (bool, error) {
 	l := s.take(c.Workers)
 	kept := l.answered
 	if !kept {
--- a/internal/commands/commander/outbox.go
+++ b/internal/commands/commander/outbox.go
@@ -7,26 +7,37 @@
 	"github.com/endivelock/endivelock/internal/leader"
 )
 
-// outbox has the answers to orders that were given up on the control thread. That thread must
-// not submit them itself: it would wait for its own queue. The zero value is empty.
+// givenUp is an order that is not sent, and why.
+type givenUp struct {
+	order leader.Order
+	err   error
+}
+
+// outbox has orders that were given up on the control thread. That thread must not answer them
+// itself: it would wait for its own queue. The zero value is empty.
 type outbox struct {
-	mu      sync.Mutex
-	answers []leader.OrderAnswered
-	wake    chan struct{}
+	mu     sync.Mutex
+	orders []givenUp
+	wake   chan struct{}
 }
 
-// put adds an answer. It never waits.
-func (b *outbox) put(a leader.OrderAnswered) {
+// put adds orders that were given up. It never waits.
+func (b *outbox) put(err error, orders ...leader.Order) {
+	if len(orders) == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.answers = append(b.answers, a)
+	for _, o := range orders {
+		b.orders = append(b.orders, givenUp{o, err})
+	}
 	select {
 	case b.wakeChannel() <- struct{}{}:
 	default:
 	}
 }
 
-// wakeChannel returns the channel that is signaled when answers are added. The caller holds
+// wakeChannel returns the channel that is signaled when orders are added. The caller holds
 // the lock.
 func (b *outbox) wakeChannel() chan struct{} {
 	if b.wake == nil {
@@ -35,17 +46,17 @@
 	return b.wake
 }
 
-// take returns the answers and empties the outbox.
-func (b *outbox) take() []leader.OrderAnswered {
+// take returns the orders and empties the outbox.
+func (b *outbox) take() []givenUp {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	answers := b.answers
-	b.answers = nil
-	return answers
+	orders := b.orders
+	b.orders = nil
+	return orders
 }
 
-// deliver calls submit with each answer until the context ends.
-func (b *outbox) deliver(ctx context.Context, submit func(leader.OrderAnswered)) {
+// deliver calls answer with each order until the context ends.
+func (b *outbox) deliver(ctx context.Context, answer func(o leader.Order, err error)) {
 	b.mu.Lock()
 	wake := b.wakeChannel()
 	b.mu.Unlock()
@@ -55,11 +66,8 @@
 			return
 		case <-wake:
 		}
-		for _, a := range b.take() {
-			if ctx.Err() != nil {
-				return
-			}
-			submit(a)
+		for _, o := range b.take() {
+			answer(o.order, o.err)
 		}
 	}
 }
--- a/internal/commands/commander/polls.go
+++ b/internal/commands/commander/polls.go
@@ -16,15 +16,18 @@
 // confirmed a fence above those of earlier calls.
 var errNoFence = errors.New("no fence is confirmed above those of calls to an earlier incarnation")
 
-// Poll polls a worker once without waiting, beside the poll in flight.
+// Poll polls a worker once without waiting, beside the poll in flight. Calls while such a poll
+// is being sent lead to one more after it.
 func (c *Commander) Poll(e leader.PollNow) {
 	s, ok := c.state(e.Worker)
-	if !ok {
+	if !ok || !s.wantPoll() {
 		return
 	}
 	c.group.Go(func() error {
-		if err := c.poll(c.ctx, e.Worker, s, 0); classifier.Is(err, classifier.Unanswered) && c.ctx.Err() == nil {
-			_ = c.poll(c.ctx, e.Worker, s, 0) // on a new connection, as the earlier ones may be those of an earlier incarnation
+		for s.takePoll() {
+			if err := c.poll(c.ctx, e.Worker, s, 0); classifier.Is(err, classifier.Unanswered) && c.ctx.Err() == nil {
+				_ = c.poll(c.ctx, e.Worker, s, 0) // on a new connection, as the earlier ones may be those of an earlier incarnation
+			}
 		}
 		return nil
 	})
@@ -135,7 +138,7 @@
 	}
 	if deadline, silence, missed := s.recordMiss(a.heard); missed {
 		c.Sink.Submit(c.Epoch, leader.PollFailed{Worker: worker, Incarnation: a.heard, Deadline: deadline, Silence: silence})
-		s.endSilence()
+		c.outbox.put(errSilent, s.endSilence()...)
 	}
 }
 
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -25,8 +25,10 @@
 	renewedIn    int64         // the silence after which the leader had the leases renewed
 	fullReportAt time.Time     // when running tasks were last reported
 	cancel       context.CancelFunc
-	orderSlots   chan struct{}
-	withdrawn    chan struct{} // closed once the orders that wait are withdrawn
+	orders       orderQueue
+	senders      int  // goroutines that send orders
+	pollWanted   bool // an extra poll is to be sent
+	polling      bool // a goroutine sends extra polls
 }
 
 // life is what is known of one incarnation and means nothing to another one.
@@ -52,37 +54,89 @@
 }
 
 // close closes the idle lines, and those that are released later. It returns the highest
-// fence that a call to the worker may have.
-func (s *workerState) close() int64 {
+// fence that a call to the worker may have, and the orders that wait, which it gives up.
+func (s *workerState) close() (int64, []leader.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	s.closeIdle()
-	s.withdrawOrders()
-	return s.fence
+	return s.fence, s.orders.withdrawAll()
 }
 
-// withdrawOrders has the orders that wait given up. The caller holds the lock.
-func (s *workerState) withdrawOrders() {
-	close(s.withdrawn)
-	s.withdrawn = make(chan struct{})
+// endSilence gives up the orders that have waited since before a silence, once the leader was
+// told of it, and returns them.
+func (s *workerState) endSilence() []leader.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders.withdrawAll()
+}
+
+// enqueue has an order wait. The error is that of an order that the leader gave before it knew
+// of the last silence.
+func (s *workerState) enqueue(o leader.Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || leader.SilentSince(o.Silence, s.silence) {
+		return errSilent
+	}
+	s.orders.add(queuedOrder{Order: o, silence: s.silence})
+	return nil
+}
+
+// addSender reports whether another goroutine is to send the orders that wait.
+func (s *workerState) addSender() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.senders >= maxOrdersPerWorker || len(s.orders.waiting) == 0 {
+		return false
+	}
+	s.senders++
+	return true
+}
+
+// nextOrder returns the order to be sent next, or nil if none waits: the caller then sends no
+// more orders.
+func (s *workerState) nextOrder() *queuedOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.orders.next()
+	if o == nil {
+		s.senders--
+	}
+	return o
+}
+
+// waitingOrders returns the number of orders that wait.
+func (s *workerState) waitingOrders() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.orders.waiting)
+}
+
+// wantPoll has an extra poll sent from now on. It reports whether the caller has to start the
+// goroutine that does so.
+func (s *workerState) wantPoll() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	start := !s.polling
+	s.pollWanted, s.polling = true, true
+	return start
 }
 
-// endSilence withdraws the orders that have waited since before a silence, once the leader was
-// told of it.
-func (s *workerState) endSilence() {
+// takePoll reports whether an extra poll is to be sent now. If not, the goroutine ends.
+func (s *workerState) takePoll() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.withdrawOrders()
+	s.polling = s.pollWanted
+	s.pollWanted = false
+	return s.polling
 }
 
-// queue returns what an order that is about to wait depends on: the last silence, and the
-// channel that is closed if the order is withdrawn. It reports false if the worker has been
-// silent since the leader gave the order.
-func (s *workerState) queue(o leader.Order) (silence int64, withdrawn <-chan struct{}, valid bool) {
+// orderDone takes note that an order was sent, and whether the worker has carried it out.
+func (s *workerState) orderDone(o *queuedOrder, executed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.silence, s.withdrawn, !leader.SilentSince(o.Silence, s.silence)
+	s.orders.done(o, executed)
 }
 
 // fencedOff reports whether the worker refuses all calls from before its last silence. The
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -129,6 +129,17 @@
 	}
 }
 
+// Waiting returns the number of orders of the leader that wait.
+func (d *Deputy) Waiting() int {
+	d.mu.Lock()
+	s := d.current
+	d.mu.Unlock()
+	if s == nil {
+		return 0
+	}
+	return s.commander.Waiting()
+}
+
 // raiseFence raises the fence that calls may have. The answers of the leader and its
 // commands may overtake each other.
 func (s *session) raiseFence(fence int64) {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -30,6 +30,7 @@
 	"github.com/endivelock/endivelock/internal/commands/relayer"
 	"github.com/endivelock/endivelock/internal/controller"
 	"github.com/endivelock/endivelock/internal/keeper"
+	"github.com/endivelock/endivelock/internal/launcher"
 	"github.com/endivelock/endivelock/internal/leader"
 	"github.com/endivelock/endivelock/internal/limiter"
 	"github.com/endivelock/endivelock/internal/linker"
@@ -103,8 +104,8 @@
 	// maxReadyAge is the maximum age of the last read of the log for an entry to be
 	// ready for requests.
 	maxReadyAge = 2500 * time.Millisecond
-	// maxConcurrentCalls bounds the calls in progress that effects have started.
-	maxConcurrentCalls = 1024
+	// maxDiscards bounds the ended jobs that are being dropped from the log at a time.
+	maxDiscards = 1024
 )
 
 // Platform is what an entry requires of the platform.
@@ -151,8 +152,9 @@
 	closed      closures
 	draining    atomic.Bool
 	ctx         context.Context
-	group       errgroup.Group
-	catchUpSlot chan struct{} // semaphore with one slot, held while CatchUp reads
+	group       errgroup.Group    // without a limit, which Go would wait for on the control thread
+	discards    launcher.Launcher // of ended jobs
+	catchUpSlot chan struct{}     // semaphore with one slot, held while CatchUp reads
 
 	deputiesMu   sync.Mutex // held while the linked entries are passed on to the delegator
 	mu           sync.Mutex
@@ -165,6 +167,7 @@
 // New returns an entry that is not running yet.
 func New(s loader.Cell, p Ports, logger logrus.FieldLogger) *Entry {
 	e := &Entry{settings: s, ports: p, logger: logger, timer: &timer.Timer{}, Registry: metrics.NewRegistry(), catchUpSlot: make(chan struct{}, 1), stopFollower: map[string]context.CancelFunc{}, Clock: timer.Uptime}
+	e.discards.Limit = maxDiscards
 	e.reading.Store(&authenticator.Reading{})
 	self := keeper.Identity{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, CPUShare: s.Share}
 	e.controller = controller.New(keeper.New(self, e.policy()), e, time.Now)
@@ -259,7 +262,6 @@
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	e.ctx = working
-	e.group.SetLimit(maxConcurrentCalls)
 	listeners, err := e.listen()
 	if err != nil {
 		return err
@@ -277,6 +279,7 @@
 	stop()
 	<-done
 	_ = e.group.Wait()
+	e.discards.Wait()
 	e.deputy.Wait()
 	e.logger.Info("entry stopped")
 	return nil
--- a/internal/conductor/large_test.go
+++ b/internal/conductor/large_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/endivelock/endivelock/internal/commands/commander"
 	"github.com/endivelock/endivelock/internal/emulator"
@@ -46,7 +48,7 @@
 		assert.NilError(t, err)
 	}
 	for n := range j.jobs {
-		job := largeJob(ledger.ID(fmt.Sprintf("large%d", n)), j.tasks)
+		job := largeJob(largeID(n), j.tasks)
 		v, err := encoder.Job(job)
 		assert.NilError(t, err)
 		appendTo(keeper.Jobs, v)
@@ -96,9 +98,71 @@
 		t.Run(j.String(), func(t *testing.T) {
 			l, c := &emulator.Log{}, &emulator.Cell{RunTime: time.Hour}
 			j.write(t, l, c)
-			c.RunTime = 200 * time.Millisecond
+			c.SetRunTime(200 * time.Millisecond)
 			listWorkers(t, l)
 			serves(t, []*member{start(t, "e0", l, c), start(t, "e1", l, c)})
 		})
 	}
 }
+
+// Guards against a control thread that waits for itself (review/13): orders beyond a limit of
+// goroutines waited on it for calls to end, whose answers waited for it. The jobs' starts, the
+// stops of their runs and the drops of the jobs are given in a few events, since the log is
+// slow when the jobs are accepted and cancelled.
+func TestAnEntryGoesOnAfterManyOrdersAtOnce(t *testing.T) {
+	for _, j := range []largeJobs{{jobs: 1, tasks: 1}, {jobs: 2, tasks: ledger.MaxTasks, cancelled: true}, {jobs: 4, tasks: ledger.MaxTasks}, {jobs: 4, tasks: ledger.MaxTasks, cancelled: true}} {
+		t.Run(j.String(), func(t *testing.T) {
+			l, c := &emulator.Log{}, &emulator.Cell{RunTime: 500 * time.Millisecond}
+			if j.cancelled {
+				c.RunTime = time.Hour
+			}
+			listWorkers(t, l)
+			members := []*member{start(t, "e0", l, c), start(t, "e1", l, c)}
+			first := leads(t, members, largeTime)
+			l.SetAppendTime(300 * time.Millisecond)
+			var clients errgroup.Group
+			for n := range j.jobs {
+				clients.Go(func() error {
+					ctx, cancel := context.WithTimeout(context.Background(), largeTime)
+					defer cancel()
+					return members[n%2].Acceptor.Accept(ctx, largeJob(largeID(n), j.tasks))
+				})
+			}
+			assert.NilError(t, clients.Wait())
+			l.SetAppendTime(0)
+			if j.cancelled {
+				awaitRunning(t, c, j.jobs*j.tasks)
+				for n := range j.jobs {
+					ctx, cancel := context.WithTimeout(context.Background(), largeTime)
+					assert.NilError(t, members[n%2].Acceptor.Cancel(ctx, largeID(n)))
+					cancel()
+				}
+				awaitRunning(t, c, 0)
+			} else {
+				for n := range j.jobs {
+					first.completes(t, largeID(n), largeTime)
+				}
+			}
+			c.SetRunTime(200 * time.Millisecond)
+			serves(t, members)
+			assert.Equal(t, len(c.Violations()), 0, "%v", c.Violations())
+		})
+	}
+}
+
+// awaitRunning waits until a number of tasks run.
+func awaitRunning(t *testing.T, c *emulator.Cell, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		running := 0
+		for _, name := range workerNames {
+			running += len(c.Running(name))
+		}
+		if running == want {
+			return poll.Success()
+		}
+		return poll.Continue("%d tasks run, not %d", running, want)
+	}, poll.WithTimeout(largeTime), poll.WithDelay(50*time.Millisecond))
+}
+
+func largeID(n int) ledger.ID { return ledger.ID(fmt.Sprintf("large%d", n)) }
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -291,7 +291,7 @@
 // discard drops the records of an ended job from the streams. What fails is left to the
 // next attempt, of this leader or of a later one.
 func (e *Entry) discard(d keeper.Discard) {
-	e.group.Go(func() error {
+	e.discards.Launch(string(d.Job), func() {
 		ctx, cancel := context.WithTimeout(e.ctx, discardTimeout)
 		defer cancel()
 		var group errgroup.Group
@@ -304,7 +304,6 @@
 		if err := group.Wait(); err != nil {
 			e.logger.WithField("job", string(d.Job)).WithError(err).Info("dropping an ended job from the log failed; to be repeated")
 		}
-		return nil
 	})
 }
 
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -49,10 +49,26 @@
 	count("advice.callers", func(c leader.Counts) int { return c.Callers })
 	count("advice.idle", func(c leader.Counts) int { return c.IdleCallers })
 	register("config.age.milliseconds", metrics.NewFunctionalGauge(func() int64 { return e.reading.Load().Age(e.Clock()).Milliseconds() }))
+	register("orders.waiting", metrics.NewFunctionalGauge(func() int64 { return int64(e.waitingOrders()) }))
+	register("discards.waiting", metrics.NewFunctionalGauge(func() int64 { return int64(e.discards.Waiting()) }))
+	register("control.perform.nanoseconds", metrics.NewFunctionalGauge(func() int64 { total, _ := e.controller.Performing(time.Now()); return int64(total) }))
+	register("control.batch.milliseconds", metrics.NewFunctionalGauge(func() int64 { _, current := e.controller.Performing(time.Now()); return current.Milliseconds() }))
 	register("control.events", metrics.NewFunctionalGauge(func() int64 { n, _ := e.controller.Cost(); return n }))
 	register("control.nanoseconds", metrics.NewFunctionalGauge(func() int64 { _, d := e.controller.Cost(); return int64(d) }))
 }
 
+// waitingOrders returns the number of orders that wait at this entry for a worker.
+func (e *Entry) waitingOrders() int {
+	waiting := e.deputy.Waiting()
+	e.mu.Lock()
+	c := e.active
+	e.mu.Unlock()
+	if c != nil {
+		waiting += c.commander.Waiting()
+	}
+	return waiting
+}
+
 // quantiles returns the quantiles that are exported for each timer.
 func quantiles() []float64 { return []float64{0.5, 0.9, 0.99, 0.999} }
 
@@ -119,9 +135,11 @@
 	now := time.Now()
 	c := s.Leader().Counts(now)
 	events, spent := e.controller.Cost()
+	performed, batch := e.controller.Performing(now)
 	e.logger.WithFields(logrus.Fields{
 		"epoch": s.Lead().Epoch, "jobs": c.Jobs, "waiting": c.WaitingSteps, "listed": c.Listed, "heard": c.Reachable, "excluded": c.Excluded, "silentruns": c.SilentRuns,
 		"asks": c.AdviceCalls, "callers": c.Callers, "idle": c.IdleCallers, "pace": c.PaceLimit, "starting": c.Starting, "cpu": c.Used.CPU, "cpuroom": c.Capacity.CPU, "memory": c.Used.Memory, "memoryroom": c.Capacity.Memory, "events": events, "controlms": spent.Milliseconds(),
+		"performms": performed.Milliseconds(), "batchms": batch.Milliseconds(), "orders": e.waitingOrders(),
 	}).Info("cell")
 	for _, w := range s.Leader().Standings(maxShownWorkspaces) {
 		e.logger.WithFields(logrus.Fields{
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// queueLength bounds the queued events; Submit blocks while the queue is full.
+	// queueLength bounds the queued events; Submit waits while the queue is full.
 	queueLength = 4096
 	// batchLength bounds the events that are applied, after the first one,
 	// before the state is published.
@@ -26,8 +26,9 @@
 	Apply(event E, now time.Time) (S, []F)
 }
 
-// Performer carries out effects. It must not block, since it is called on the
-// control thread.
+// Performer carries out effects. It is called on the control thread, so it must not wait
+// for anything that needs this thread: not call Submit, nor wait for a goroutine, a lock or
+// a limit of goroutines that may be held by one that calls it.
 type Performer[F any] interface {
 	// Perform receives effects in the order in which they were decided.
 	Perform(effects []F)
@@ -42,6 +43,10 @@
 	published atomic.Pointer[S]
 	busy      atomic.Int64 // nanoseconds spent in Apply
 	applied   atomic.Int64
+	performed atomic.Int64 // nanoseconds spent in Perform
+	began     atomic.Int64 // when the batch in progress began, in nanoseconds since 1970, or 0
+	ended     chan struct{}
+	end       sync.Once // closes ended
 
 	mu      sync.Mutex
 	waiters []chan struct{}
@@ -54,16 +59,20 @@
 		performer: p,
 		now:       now,
 		events:    make(chan E, queueLength),
+		ended:     make(chan struct{}),
 		state:     initial,
 	}
 	c.published.Store(&initial)
 	return c
 }
 
-// Submit queues an event for the control thread. It blocks while the queue is
-// full.
+// Submit queues an event for the control thread. It waits while the queue is full, so it must
+// not be called on that thread. Once Serve has returned, events are dropped.
 func (c *Controller[S, E, F]) Submit(e E) {
-	c.events <- e
+	select {
+	case c.events <- e:
+	case <-c.ended:
+	}
 }
 
 // Snapshot returns the last published state.
@@ -76,6 +85,15 @@
 	return c.applied.Load(), time.Duration(c.busy.Load())
 }
 
+// Performing returns the time spent in Perform so far, and for how long the batch in progress
+// has taken at time now, 0 if there is none.
+func (c *Controller[S, E, F]) Performing(now time.Time) (total, current time.Duration) {
+	if began := c.began.Load(); began != 0 {
+		current = max(0, time.Duration(now.UnixNano()-began))
+	}
+	return time.Duration(c.performed.Load()), current
+}
+
 // Await returns the first published state that satisfies a condition, or the
 // last one that does not and the error of the context.
 func (c *Controller[S, E, F]) Await(ctx context.Context, condition func(S) bool) (S, error) {
@@ -106,6 +124,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.end.Do(func() { close(c.ended) })
 			return ctx.Err()
 		case e := <-c.events:
 			c.applyBatch(e)
@@ -116,6 +135,8 @@
 // applyBatch applies an event and those queued behind it, publishes the result
 // and passes the effects on.
 func (c *Controller[S, E, F]) applyBatch(first E) {
+	c.began.Store(time.Now().UnixNano())
+	defer c.began.Store(0)
 	effects := c.apply(first, nil)
 	for range batchLength {
 		select {
@@ -127,7 +148,9 @@
 		break
 	}
 	c.publish()
+	began := time.Now()
 	c.performer.Perform(effects)
+	c.performed.Add(int64(time.Since(began)))
 }
 
 func (c *Controller[S, E, F]) apply(e E, effects []F) []F {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -45,3 +45,27 @@
 	_, err = c.Await(ctx, func(scheduler.State) bool { return false })
 	assert.ErrorIs(t, err, context.Canceled)
 }
+
+// ignorer is a performer that does nothing.
+type ignorer struct{}
+
+func (ignorer) Perform([]scheduler.Effect) {}
+
+// Guards against a process that doesn't end (review/13): a goroutine that submits an event waited
+// for the control thread for good if that had ended with its queue full.
+func TestNobodyWaitsForAControlThreadThatHasEnded(t *testing.T) {
+	c := controller.New(scheduler.New(scheduler.Entry{}, scheduler.Policy{}, time.Now()), ignorer{}, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	var submitting, serving errgroup.Group
+	const more = 10_000 // than the queue takes
+	submitting.Go(func() error {
+		for range more {
+			c.Submit(scheduler.Ticked{})
+		}
+		return nil
+	})
+	cancel()
+	serving.Go(func() error { return c.Serve(ctx) })
+	assert.ErrorIs(t, serving.Wait(), context.Canceled)
+	assert.NilError(t, submitting.Wait())
+}
--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -39,6 +39,7 @@
 	violations []string
 	done       map[ledger.TaskID]bool
 	starts     map[ledger.TaskID]int
+	active     map[ledger.TaskID]int // runs that execute
 }
 
 var (
@@ -62,7 +63,7 @@
 func (c *Cell) worker(name string) *workerState {
 	if c.workers == nil {
 		c.workers, c.gangs = map[string]*workerState{}, map[string]*gangRun{}
-		c.done, c.starts = map[ledger.TaskID]bool{}, map[ledger.TaskID]int{}
+		c.done, c.starts, c.active = map[ledger.TaskID]bool{}, map[ledger.TaskID]int{}, map[ledger.TaskID]int{}
 	}
 	w, ok := c.workers[name]
 	if !ok {
@@ -72,6 +73,13 @@
 	return w
 }
 
+// SetRunTime changes the duration of every run.
+func (c *Cell) SetRunTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.RunTime = d
+}
+
 // Lose cuts a worker off, so that no call reaches it any more. What runs there goes on
 // until its leases have expired.
 func (c *Cell) Lose(worker string) {
@@ -116,6 +124,9 @@
 	switch o.Kind {
 	case leader.OrderStart:
 		c.checkStart(w, o)
+		if _, again := w.running[key]; !again {
+			c.active[o.Task]++
+		}
 		w.running[key], w.tasks[key] = time.Now(), o
 		c.starts[o.Task]++
 		if g := c.gang(o); g != nil {
@@ -169,13 +180,11 @@
 	if c.done[o.Task] {
 		c.violations = append(c.violations, "started after it was done: "+o.Task.String())
 	}
-	for name, other := range c.workers {
+	for _, other := range c.workers {
 		c.expire(other, time.Now())
-		for key := range other.running {
-			if other.tasks[key].Task == o.Task {
-				c.violations = append(c.violations, "started twice: "+key+" at "+name)
-			}
-		}
+	}
+	if c.active[o.Task] > 0 {
+		c.violations = append(c.violations, "started twice: "+o.Task.String()+" at "+o.Worker)
 	}
 }
 
@@ -189,6 +198,7 @@
 		c.done[o.Task] = true
 	}
 	delete(w.running, key)
+	c.active[o.Task]--
 	w.lastEnd++
 	w.ends = append(w.ends, leader.RunEnd{Number: w.lastEnd, Task: o.Task.String(), Run: o.Run, Kind: how})
 }
