Send no order that the leader no longer wants

Cause: starts wait for one of two slots of their worker, which an order without an answer holds for 600 ms, and nobody looked at them again before they were sent. The stops of their runs waited behind them. Change: a stop withdraws the start of its run where that waits, at the leader or at a deputy; the run is over and needs no stop. A worker that drains or is unlisted has the starts that wait for it withdrawn, and a start isn't sent after its ticket has run out. The simulation of the core lets orders wait, has jobs of up to 200 tasks and workers that drain, and refuses starts that the leader knows to be unwanted. Evidence: starts at a runner 600 ms apart in pairs, where one wasn't answered.

--- a/internal/architecture/control_test.go
+++ b/internal/architecture/control_test.go
@@ -11,7 +11,7 @@
 // controlCalls are the functions, by package, that the control thread calls to carry out
 // effects.
 func controlCalls() map[string][]string {
-	caller := []string{"Watch", "Unwatch", "Poll", "Renew", "Acknowledge", "Order"}
+	caller := []string{"Watch", "Unwatch", "Poll", "Renew", "Acknowledge", "Order", "Withdraw"}
 	return map[string][]string{
 		"internal/conductor":          {"Perform"},
 		"internal/commands/performer": {"Perform"},
--- a/internal/commands/commander/commander.go
+++ b/internal/commands/commander/commander.go
@@ -13,6 +13,10 @@
 //     incarnation is accepted, so that work can start there, once it has answered a poll
 //     with a higher fence than all calls to earlier ones, which it refuses from then on.
 //
+// An order may wait long after the decision behind it. It is sent only if the newest state that
+// the leader has told still wants it: a stop withdraws the start of its run that waits, is
+// sent before all starts, and isn't needed if the start was never sent.
+//
 // A worker that was silent may be the same incarnation as before, and the leader may have
 // given up the runs there. Two more rules keep their starts from being executed:
 //
--- a/internal/commands/commander/model_test.go
+++ b/internal/commands/commander/model_test.go
@@ -46,6 +46,7 @@
 	told     int64          // latest lease deadline that the leader was told
 	read     map[int64]bool // ends that the leader was told
 	direct   map[int]bool   // runs that were started by a call to this incarnation
+	stopped  map[int]bool   // runs that were stopped
 }
 
 func (i *incarnation) clock() int64 { return time.Since(i.began).Milliseconds() }
@@ -56,9 +57,11 @@
 	mu      sync.Mutex
 	current *incarnation // nil while it is down
 	lives   []*incarnation
-	fates   []fate       // of the next calls; further ones are executed and answered
-	cutEnd  time.Time    // until then no call arrives and no answer leaves
-	givenUp map[int]bool // runs that the leader has given up; nil if it gives none up
+	fates   []fate            // of the next calls; further ones are executed and answered
+	cutEnd  time.Time         // until then no call arrives and no answer leaves
+	givenUp map[int]bool      // runs that the leader has given up; nil if it gives none up
+	refused map[int]time.Time // when the leader no longer wanted runs, so that no start of them may be sent later
+	expires map[int]time.Time // when the tickets of starts run out
 	broken  []string
 }
 
@@ -249,9 +252,20 @@
 	return nil
 }
 
-// Order sends a start.
+// Order sends a start or a stop.
 func (c *transport) Order(ctx context.Context, to commander.Target, o leader.Order) error {
 	m := c.model
+	if o.Kind == leader.OrderStop {
+		_, err := c.call(ctx, func(at, _ *incarnation) error { return m.stop(at, to, o.Run) })
+		return err
+	}
+	m.mu.Lock()
+	refused, unwanted := m.refused[o.Run]
+	expires, limited := m.expires[o.Run]
+	if now := time.Now(); unwanted && now.After(refused) || limited && now.After(expires) {
+		m.violate("a start of run %d is sent that nobody wants any more", o.Run)
+	}
+	m.mu.Unlock()
 	_, err := c.call(ctx, func(at, sentTo *incarnation) error {
 		if err := m.admit(at, sentTo, to, "start"); err != nil {
 			return err
@@ -266,14 +280,33 @@
 		if m.givenUp[o.Run] {
 			m.violate("run %d starts after it was given up", o.Run)
 		}
+		if at.stopped[o.Run] {
+			return &classifier.Error{Kind: classifier.StaleRun}
+		}
 		at.direct[o.Run] = at.direct[o.Run] || at == sentTo
 		at.running[o.Run] = true
-		time.AfterFunc(workTime, func() { m.finish(at, o.Run) })
+		if m.refused == nil {
+			time.AfterFunc(workTime, func() { m.finish(at, o.Run) })
+		}
 		return nil
 	})
 	return err
 }
 
+// stop ends a run, and keeps it from being started later. The caller holds the lock.
+func (m *model) stop(at *incarnation, to commander.Target, run int) error {
+	if to.Fence < at.fence {
+		return &classifier.Error{Kind: classifier.Fenced}
+	}
+	at.fence = to.Fence
+	if at.stopped == nil {
+		at.stopped = map[int]bool{}
+	}
+	at.stopped[run] = true
+	delete(at.running, run)
+	return nil
+}
+
 // finish ends a run.
 func (m *model) finish(at *incarnation, run int) {
 	m.mu.Lock()
@@ -319,6 +352,7 @@
 	silence   int64        // the last one that was told
 	open      map[int]bool // orders that were not answered
 	notSent   int
+	stopping  map[int]bool // runs whose stop was not carried out yet
 }
 
 // giveUp gives up the runs at a silent worker whose leases have expired, as a leader does. The
@@ -408,6 +442,15 @@
 			f.giveUp(at)
 		}
 	case leader.OrderAnswered:
+		if e.Kind == leader.OrderStop {
+			if e.Outcome == leader.Executed {
+				delete(f.stopping, e.Run)
+			}
+			return
+		}
+		if f.stopping[e.Run] && e.Outcome == leader.NotSent {
+			delete(f.stopping, e.Run) // the run is over
+		}
 		if e.Outcome != leader.OutcomeUnknown {
 			delete(f.open, e.Run)
 		}
--- a/internal/commands/commander/orders.go
+++ b/internal/commands/commander/orders.go
@@ -19,19 +19,28 @@
 	// errSilent is the error of orders that were given up while they waited: the leader gives
 	// up the runs at a worker that stays silent, and may have done so.
 	errSilent = errors.Mark(errors.New("the worker has been silent, or has another caller, since the order was given"), errNotSent)
+	// errWithdrawn is the error of orders that the leader has withdrawn before they were sent.
+	errWithdrawn = errors.Mark(errors.New("the leader has withdrawn the order"), errNotSent)
+	// errExpired is the error of starts whose ticket ran out while they waited.
+	errExpired = errors.Mark(errors.New("the ticket has run out"), errNotSent)
 )
 
 // orderTarget returns the target of an order on a line. Its error is that of an order that must
 // not be sent: the worker has been silent since the order was given, the incarnation that the
-// order is for has not answered on the line, or another one has been heard since. Orders don't
-// extend leases beyond the deadline that polls have sent, so that the leader knows when
-// they lapse. Only an order that comes before the first such deadline sets one.
+// order is for has not answered on the line, or another one has been heard since, or the newest
+// state of the leader no longer wants it. Orders don't extend leases beyond the deadline that
+// polls have sent, so that the leader knows when they lapse. Only an order that comes before the
+// first such deadline sets one.
 func (c *Commander) orderTarget(s *workerState, l *line, o *queuedOrder, now time.Time) (Target, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.closed || s.silence != o.silence:
 		return Target{}, errSilent
+	case o.withdrawn:
+		return Target{}, errWithdrawn
+	case !o.expires.IsZero() && !now.Before(o.expires):
+		return Target{}, errExpired
 	case !s.usable(l) || o.Incarnation != 0 && o.Incarnation != s.incarnation:
 		return Target{}, errors.Mark(errors.Newf("incarnation %d has not answered last", o.Incarnation), errNotSent)
 	}
@@ -45,14 +54,16 @@
 }
 
 // Order has an order sent and its outcome submitted. Orders beyond maxOrdersPerWorker wait, as
-// long as the worker answers polls.
+// long as the worker answers polls and the leader doesn't withdraw them.
 func (c *Commander) Order(o leader.Order) {
 	s, ok := c.state(o.Worker)
 	if !ok {
 		c.outbox.put(errNotCalled, o)
 		return
 	}
-	if err := s.enqueue(o); err != nil {
+	withdrawn, err := s.enqueue(o, time.Now())
+	c.outbox.put(errWithdrawn, withdrawn...)
+	if err != nil {
 		c.outbox.put(err, o)
 		return
 	}
@@ -64,6 +75,13 @@
 	}
 }
 
+// Withdraw has the start of a run given up, unless it has been sent.
+func (c *Commander) Withdraw(e leader.Withdraw) {
+	if s, ok := c.state(e.Worker); ok {
+		c.outbox.put(errWithdrawn, s.withdrawStart(e)...)
+	}
+}
+
 // sendOrders sends the orders to a worker that wait, one after the other, until none is left.
 func (c *Commander) sendOrders(s *workerState) {
 	for o := s.nextOrder(); o != nil && c.ctx.Err() == nil; o = s.nextOrder() {
@@ -90,9 +108,14 @@
 		return
 	}
 	if err != nil {
-		c.Logger.WithFields(logrus.Fields{
+		log := c.Logger.WithFields(logrus.Fields{
 			"worker": o.Worker, "task": o.Task.String(), "run": o.Run, "order": string(o.Kind), "epoch": c.Epoch,
-		}).WithError(err).Warn("order failed")
+		}).WithError(err)
+		if errors.Is(err, errWithdrawn) {
+			log.Debug("order withdrawn") // the leader has logged why
+		} else {
+			log.Warn("order failed")
+		}
 	}
 	c.Sink.Submit(c.Epoch, leader.OrderAnswered{Worker: o.Worker, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcomeOf(err), At: time.Now()})
 }
--- a/internal/commands/commander/state.go
+++ b/internal/commands/commander/state.go
@@ -71,16 +71,26 @@
 	return s.orders.withdrawAll()
 }
 
-// enqueue has an order wait. The error is that of an order that the leader gave before it knew
-// of the last silence.
-func (s *workerState) enqueue(o leader.Order) error {
+// enqueue has an order wait and returns the orders that it withdraws. The error is that of an
+// order that the leader gave before it knew of the last silence.
+func (s *workerState) enqueue(o leader.Order, now time.Time) ([]leader.Order, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || leader.SilentSince(o.Silence, s.silence) {
-		return errSilent
+		return nil, errSilent
 	}
-	s.orders.add(queuedOrder{Order: o, silence: s.silence})
-	return nil
+	queued := queuedOrder{Order: o, silence: s.silence}
+	if o.Valid > 0 {
+		queued.expires = now.Add(o.Valid)
+	}
+	return s.orders.add(queued), nil
+}
+
+// withdrawStart withdraws the start of a run and returns it if it waited.
+func (s *workerState) withdrawStart(e leader.Withdraw) []leader.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders.withdraw(leader.OrderStart, e.Task, e.Run)
 }
 
 // addSender reports whether another goroutine is to send the orders that wait.
--- a/internal/commands/delegator/delegator.go
+++ b/internal/commands/delegator/delegator.go
@@ -58,7 +58,8 @@
 	CPUShare float64
 }
 
-// Caller calls workers. The methods start calls and do not wait.
+// Caller calls workers. The methods start calls and do not wait, neither for these nor for a
+// Sink: they are called on the control thread.
 type Caller interface {
 	// Watch starts the polling of a worker, or continues it at a new address.
 	Watch(e leader.StartPolling)
@@ -72,6 +73,8 @@
 	Acknowledge(e leader.Acknowledge)
 	// Order sends an order to a worker.
 	Order(o leader.Order)
+	// Withdraw has the start of a run given up, unless it has been sent.
+	Withdraw(e leader.Withdraw)
 }
 
 // Link passes commands on to other entries.
@@ -441,6 +444,16 @@
 	d.Local.Order(o)
 }
 
+// Withdraw has the start of a run given up, unless it has been sent.
+func (d *Delegator) Withdraw(e leader.Withdraw) {
+	if p := d.lockDeputy(e.Worker); p != nil {
+		defer d.mu.Unlock()
+		p.put(Command{Withdraw: &e})
+		return
+	}
+	d.Local.Withdraw(e)
+}
+
 // lockDeputy returns the deputy that calls a worker, with the delegator locked, or
 // nil and the delegator unlocked if the leader calls it.
 func (d *Delegator) lockDeputy(worker string) *deputy {
--- a/internal/commands/delegator/delegator_test.go
+++ b/internal/commands/delegator/delegator_test.go
@@ -141,10 +141,11 @@
 
 // caller records what the leader calls itself.
 type caller struct {
-	mu      sync.Mutex
-	watched map[string]bool
-	dropped int // workers that were unwatched
-	orders  []leader.Order
+	mu        sync.Mutex
+	watched   map[string]bool
+	dropped   int // workers that were unwatched
+	orders    []leader.Order
+	withdrawn []leader.Withdraw
 }
 
 func (c *caller) Watch(e leader.StartPolling) {
@@ -167,6 +168,12 @@
 func (c *caller) Acknowledge(leader.Acknowledge) {}
 func (c *caller) Renew(leader.Renew)             {}
 
+func (c *caller) Withdraw(e leader.Withdraw) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn = append(c.withdrawn, e)
+}
+
 func (c *caller) Order(o leader.Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/commands/delegator/deputy.go
+++ b/internal/commands/delegator/deputy.go
@@ -165,6 +165,8 @@
 		s.commander.Acknowledge(*c.Ack)
 	case c.Order != nil:
 		s.commander.Order(*c.Order)
+	case c.Withdraw != nil:
+		s.commander.Withdraw(*c.Withdraw)
 	}
 }
 
--- a/internal/commands/delegator/messages.go
+++ b/internal/commands/delegator/messages.go
@@ -8,12 +8,13 @@
 
 // Command is one thing for a deputy to do. One field is set.
 type Command struct {
-	Watch   *leader.StartPolling
-	Unwatch string
-	Poll    string
-	Renew   *leader.Renew
-	Ack     *leader.Acknowledge
-	Order   *leader.Order
+	Watch    *leader.StartPolling
+	Unwatch  string
+	Poll     string
+	Renew    *leader.Renew
+	Ack      *leader.Acknowledge
+	Order    *leader.Order
+	Withdraw *leader.Withdraw
 }
 
 // Commands is a batch of commands to a deputy, to be done in order.
--- a/internal/conductor/perform.go
+++ b/internal/conductor/perform.go
@@ -78,6 +78,8 @@
 	switch f := effect.(type) {
 	case leader.Order:
 		c.delegator.Order(f)
+	case leader.Withdraw:
+		c.delegator.Withdraw(f)
 	case leader.StartPolling:
 		c.delegator.Watch(f)
 	case leader.StopPolling:
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -310,6 +310,7 @@
 	t.emit(Order{
 		Worker: w.ID, Address: w.Address, Incarnation: p.Incarnation, Silence: w.Silence, Kind: OrderStart, Task: p.Task, Run: p.Run,
 		Spec: job.Job.Spec, Checkpoint: job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Checkpoint, Ticket: p.Ticket,
+		Valid: p.ticketLeft(t.now),
 	})
 }
 
--- a/internal/leader/effects.go
+++ b/internal/leader/effects.go
@@ -47,9 +47,18 @@
 	Spec         string
 	Checkpoint   string
 	Ticket       string
+	Valid        time.Duration // how long the ticket is valid, 0 for no limit
 	SpeedPercent int
 }
 
+// Withdraw has the order to start a run given up and answered as not sent, unless it has been
+// sent. An order to stop a run does so, too.
+type Withdraw struct {
+	Worker string
+	Task   ledger.TaskID
+	Run    int
+}
+
 // StartPolling starts the periodic polling of a worker, or continues it at a new address. No call
 // of an earlier caller has a higher fence than Floor, and each caller has a higher Watch than
 // earlier ones; the leader itself leaves both 0.
@@ -120,6 +129,7 @@
 func (Record) effect()        {}
 func (RecordLeases) effect()  {}
 func (Order) effect()         {}
+func (Withdraw) effect()      {}
 func (StartPolling) effect()  {}
 func (StopPolling) effect()   {}
 func (PollNow) effect()       {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -177,6 +177,14 @@
 	return p
 }
 
+// ticketLeft returns how long the ticket of the run is still valid, 0 for no limit.
+func (p Placement) ticketLeft(now time.Time) time.Duration {
+	if p.TicketExpiry.IsZero() {
+		return 0
+	}
+	return max(p.TicketExpiry.Sub(now), 1)
+}
+
 // stages returns how long the start of the run took, as far as this leader knows it.
 func (p Placement) stages(now time.Time) RunStages {
 	if p.PlacedAt.IsZero() || p.SentAt.IsZero() || p.AnsweredAt.IsZero() {
--- a/internal/leader/oracle_test.go
+++ b/internal/leader/oracle_test.go
@@ -49,6 +49,22 @@
 	return j
 }
 
+// drawLargeJob draws a job of many small tasks, most of which may run at a time.
+func drawLargeJob(t *rapid.T, id ledger.ID, now time.Time) ledger.Job {
+	return ledger.Job{ID: id, Accepted: now, Queue: ledger.Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 1.5}, Steps: []ledger.Step{
+		{Count: rapid.IntRange(50, 200).Draw(t, "tasks"), Request: ledger.Resources{CPU: 20}, Estimate: time.Second},
+	}}
+}
+
+// drain has a worker listed as draining, or as staying.
+func (sm *simulation) drain(id string, draining bool) {
+	target := sm.workers[id]
+	target.listing.Draining, target.listing.LeavesIn = draining, time.Minute
+	l := target.listing
+	l.Incarnation = target.incarnation
+	sm.apply(leader.Listed{Listing: l})
+}
+
 // Guards the rules that simulation.check states under random loss, delay,
 // partitions, restarts and takeovers, and checks that every job ends once the faults
 // have ended.
@@ -81,6 +97,19 @@
 			}
 		},
 		"flood": func(t *rapid.T) { sm.flood(t) },
+		"large": func(t *rapid.T) {
+			if len(sm.jobs) < 12 && pick(8) == 0 {
+				id := ledger.ID(fmt.Sprintf("j%d", len(sm.jobs)))
+				sm.jobs[id] = drawLargeJob(t, id, sm.now)
+				sm.apply(leader.Accepted{Job: sm.jobs[id]})
+			}
+		},
+		"drain": func(*rapid.T) {
+			if pick(4) == 0 {
+				id := worker()
+				sm.drain(id, !sm.workers[id].listing.Draining)
+			}
+		},
 		"cancel": func(*rapid.T) {
 			if len(sm.jobs) > 0 && pick(4) == 0 {
 				id := sm.jobIDs()[pick(len(sm.jobs))]
@@ -102,7 +131,9 @@
 		},
 		"unanswered": func(*rapid.T) { // the order may still be carried out later
 			if len(sm.orders) > 0 {
-				sm.answer(sm.orders[pick(len(sm.orders))], leader.OutcomeUnknown)
+				i := pick(len(sm.orders))
+				sm.orders[i].sent = true
+				sm.answer(sm.orders[i], leader.OutcomeUnknown)
 			}
 		},
 		"look":  func(*rapid.T) { sm.poll(worker(), pick(6) > 0) },
@@ -174,8 +205,9 @@
 func settle(sm *simulation) {
 	sm.holding = false
 	sm.release()
-	for _, target := range sm.workers {
-		target.partitioned = false
+	for _, id := range sm.workerIDs() {
+		sm.workers[id].partitioned = false
+		sm.drain(id, false)
 	}
 	for range 400 {
 		sm.commit(1000)
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -44,6 +44,7 @@
 	w.Listed = false
 	t.setWorker(w)
 	t.emit(Decision{What: "unlist", Worker: w.ID})
+	t.withdrawStarts(w)
 	t.removeIfUnused(w)
 }
 
@@ -307,7 +308,7 @@
 // handleStartOutcome processes the outcome of a start order.
 func (t *transition) handleStartOutcome(w Worker, p Placement, o Outcome, at time.Time) {
 	if p.Stage == Stopping && (o == Refused || o == InvalidTicket || o == InsufficientCapacity || o == NotSent) {
-		t.loseRun(w, p, "worker refused the start")
+		t.loseRun(w, p, startFailure(o))
 		return
 	}
 	if p.Stage != StartSent {
@@ -342,5 +343,13 @@
 	}
 	t.stopGang(p)
 	w, _ = t.fleet.get(w.ID) // stopGang may have changed it
-	t.loseRun(w, p, "worker refused the start")
+	t.loseRun(w, p, startFailure(o))
+}
+
+// startFailure returns why a run is over whose start had an outcome.
+func startFailure(o Outcome) string {
+	if o == NotSent {
+		return "the start was not sent"
+	}
+	return "worker refused the start"
 }
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -94,7 +94,8 @@
 	order    leader.Order
 	epoch    int64
 	leaseEnd time.Time
-	version  int // of the configuration that the leader knew
+	version  int  // of the configuration that the leader knew
+	sent     bool // it may be carried out, however late; other orders wait
 }
 
 // simulation simulates workers, a log and a leader that is replaced at times. It
@@ -147,6 +148,11 @@
 	sm.watches[id]++
 	sm.silences[id] = leader.FirstSilence(sm.watches[id])
 	sm.apply(leader.PollerLost{Worker: id, Watch: lost})
+	for i, s := range sm.orders {
+		if s.order.Worker == id {
+			sm.orders[i].sent = true
+		}
+	}
 	for _, s := range slices.Clone(sm.orders) {
 		if s.order.Worker == id {
 			sm.answer(s, leader.OutcomeUnknown)
@@ -269,6 +275,7 @@
 func (sm *simulation) applyNow(e leader.Event) {
 	next, effects := sm.state.Apply(e, sm.now)
 	sm.state = next
+	var withdrawn []leader.Withdraw
 	for _, effect := range effects {
 		switch f := effect.(type) {
 		case leader.Record:
@@ -277,7 +284,15 @@
 		case leader.RecordLeases:
 			sm.leases = append(sm.leases, f)
 		case leader.Order:
-			sm.orders = append(sm.orders, sentOrder{f, sm.epoch, sm.now.Add(testLease), sm.caps.known})
+			sm.orders = append(sm.orders, sentOrder{order: f, epoch: sm.epoch, leaseEnd: sm.now.Add(testLease), version: sm.caps.known})
+			if f.Address == "" {
+				sm.t.Fatalf("order to %s %s at %s, which nobody calls", f.Kind, f.Task, f.Worker)
+			}
+			if f.Kind == leader.OrderStop {
+				withdrawn = append(withdrawn, leader.Withdraw{Worker: f.Worker, Task: f.Task, Run: f.Run})
+			}
+		case leader.Withdraw:
+			withdrawn = append(withdrawn, f)
 		case leader.Acknowledge:
 			sm.acked[f.Worker] = f
 		case leader.Renew:
@@ -288,6 +303,39 @@
 			sm.wakePending = true
 		}
 	}
+	for _, w := range withdrawn {
+		sm.withdraw(w)
+	}
+}
+
+// withdraw has a start given up that waits, and with it the stop of its run.
+func (sm *simulation) withdraw(w leader.Withdraw) {
+	about := func(kind leader.OrderKind) func(s sentOrder) bool {
+		return func(s sentOrder) bool {
+			return s.epoch == sm.epoch && !s.sent && s.order.Kind == kind && s.order.Worker == w.Worker && s.order.Task == w.Task && s.order.Run == w.Run
+		}
+	}
+	i := slices.IndexFunc(sm.orders, about(leader.OrderStart))
+	if i < 0 {
+		return
+	}
+	start := sm.orders[i]
+	sm.orders = slices.DeleteFunc(slices.Delete(sm.orders, i, i+1), about(leader.OrderStop))
+	sm.answer(start, leader.NotSent)
+}
+
+// checkWanted fails the test if a start is sent that the leader knows to be unwanted: its job
+// was cancelled, or its worker drains.
+func (sm *simulation) checkWanted(target *simWorker, s sentOrder) {
+	if s.epoch != sm.epoch || s.sent {
+		return
+	}
+	if sm.cancels[s.order.Task.Job] {
+		sm.t.Fatalf("start of %s run %d is sent after its job was cancelled", s.order.Task, s.order.Run)
+	}
+	if target.listing.Draining {
+		sm.t.Fatalf("start of %s run %d is sent to %s, which drains", s.order.Task, s.order.Run, s.order.Worker)
+	}
 }
 
 // commit commits the n oldest batches to the log.
@@ -317,6 +365,9 @@
 	s := sm.orders[i]
 	sm.orders = slices.Delete(sm.orders, i, i+1)
 	target := sm.workers[s.order.Worker]
+	if s.order.Kind == leader.OrderStart {
+		sm.checkWanted(target, s)
+	}
 	if target.partitioned {
 		sm.answer(s, leader.OutcomeUnknown)
 		return
--- a/internal/leader/supervise.go
+++ b/internal/leader/supervise.go
@@ -162,9 +162,22 @@
 	return w
 }
 
+// withdrawStarts has those starts at a worker given up that have not been sent.
+func (t *transition) withdrawStarts(w Worker) {
+	if w.StartingRuns == 0 {
+		return
+	}
+	for _, p := range w.Placements.All() {
+		if p.Stage == StartSent {
+			t.emit(Withdraw{Worker: w.ID, Task: p.Task, Run: p.Run})
+		}
+	}
+}
+
 // drain stops the runs that would be lost when a draining worker leaves. Runs
-// estimated to end before that continue.
+// estimated to end before that continue. Starts that have not been sent are given up.
 func (t *transition) drain(w Worker) {
+	t.withdrawStarts(w)
 	for _, p := range w.Placements.All() {
 		job, ok := t.active.get(string(p.Task.Job))
 		if !ok || p.Stage != Running && p.Stage != Inherited {
