Stop inherited runs at a worker that drains before it was heard

Cause: a leader that takes over hears that a worker drains before the worker's first report. As no order was given about an inherited run before that report, nothing stopped the lasting tasks there any more; they ended with their worker. Change: orders about inherited runs are held back only while the worker isn't listed, which is when nobody calls it. A stop that was given again while one was being sent also counts as carried out only for the same speed. Measured: TestALastingRunThatWasTakenOverIsStoppedIfItsWorkerDrains failed before and passes.

--- a/internal/commands/commander/queue.go
+++ b/internal/commands/commander/queue.go
@@ -70,11 +70,11 @@
 	q.waiting[key] = o
 }
 
-// done takes note that an order was sent. If it was not carried out and was given again
-// meanwhile, it waits again.
+// done takes note that an order was sent. If it was given again meanwhile, it waits again,
+// unless the same has been carried out.
 func (q *orderQueue) done(o *queuedOrder, executed bool) {
 	delete(q.sending, keyOf(o.Order))
-	if o.again != nil && !executed {
+	if o.again != nil && !(executed && o.SpeedPercent == o.again.SpeedPercent) {
 		q.wait(o.again)
 	}
 }
--- a/internal/leader/apply.go
+++ b/internal/leader/apply.go
@@ -329,8 +329,8 @@
 }
 
 // stopRun orders the stop of a run, or withdraws one whose start has not been sent,
-// and returns the worker. Nothing is ordered about an inherited run before the worker has
-// been heard: it may be over, and superviseRun stops it if the report lists it.
+// and returns the worker. Nothing is ordered about an inherited run while its worker is not
+// listed, since nobody calls it: the run may be over, and superviseRun stops it if a report lists it.
 func (t *transition) stopRun(w Worker, p Placement, why string) Worker {
 	switch p.Stage {
 	case Recording:
@@ -338,7 +338,7 @@
 	case Withdrawn, Stopping:
 		return w
 	case Inherited:
-		if w.Reachability != Reachable {
+		if !w.Listed {
 			return w
 		}
 	}
--- a/internal/leader/inherited_test.go
+++ b/internal/leader/inherited_test.go
@@ -64,3 +64,17 @@
 		})
 	}
 }
+
+// Guards against a lasting task that ends with its worker: a leader that takes over hears of a
+// worker that drains before it hears the worker, and has to stop the runs there.
+func TestALastingRunThatWasTakenOverIsStoppedIfItsWorkerDrains(t *testing.T) {
+	h := newHarness(t, 0, ledger.Resources{})
+	j := ledger.Job{ID: "j", Accepted: h.now, Steps: []ledger.Step{{Count: 1, LongRunning: true, Request: ledger.Resources{CPU: 1}}}}
+	id := ledger.TaskID{Job: "j"}
+	p := ledger.NewProgress(j).WithRoundsBegun(j, 0).WithState(ledger.Running).WithTask(id, ledger.Task{}.WithRun(2, "w00"))
+	h.apply(leader.Accepted{Job: j, Progress: &p})
+	h.apply(leader.Listed{Listing: leader.Listing{ID: "w00", Address: "w00", Service: "s", Capacity: ledger.Resources{CPU: 8000}, Draining: true, LeavesIn: time.Minute}})
+	h.applyReport("w00", leader.Report{Incarnation: 1, Clock: h.now.UnixMilli(), Running: []leader.RunStatus{{Task: id.String(), Number: 2}}}, 0)
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, h.countOrders(leader.OrderStop) > 0)
+}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -218,7 +218,7 @@
 		return t.stopRun(w, p, "its job has ended")
 	}
 	step := job.Job.Steps[p.Task.Step]
-	if !step.Gang && (!job.Progress.HasTask(p.Task) || job.Progress.Task(p.Task.Round, p.Task.Step, p.Task.Index).Phase == ledger.Done) { // the members of a gang end together
+	if !step.Gang && !unfinished(job.Progress, p.Task) { // the members of a gang end together
 		return t.stopRun(w, p, "another run of the task is done")
 	}
 	if w = t.moveStraggler(w, p, step); w.stopping(p.key()) {
@@ -227,6 +227,11 @@
 	return t.stopIfHung(w, p, job)
 }
 
+// unfinished reports whether a task is part of a round in progress and not done.
+func unfinished(p ledger.Progress, id ledger.TaskID) bool {
+	return p.HasTask(id) && p.Task(id.Round, id.Step, id.Index).Phase != ledger.Done
+}
+
 // adopt returns the placement of a run that an earlier leader started and that the
 // worker reports as running.
 func (t *transition) adopt(w Worker, p Placement) Placement {
