Take over large jobs that go on, too

Cause: the test of a takeover had cancelled jobs only. Change: it also takes over large jobs whose runs execute or have lapsed, which then have to be done without a start that breaks a rule.

--- a/internal/conductor/large_test.go
+++ b/internal/conductor/large_test.go
@@ -92,15 +92,25 @@
 
 // Guards against a leader that stops for good as it takes over (review/11): the cancellations
 // that it read gave it thousands of orders for workers that it didn't call yet, and the answer
-// to each waited for the control thread on the control thread.
-func TestALeaderTakesOverLargeJobsThatWereCancelled(t *testing.T) {
-	for _, j := range []largeJobs{{2, 2150, true, false}, {3, ledger.MaxTasks, true, false}, {2, 2150, true, true}} {
+// to each waited for the control thread on the control thread. Jobs that go on are done.
+func TestALeaderTakesOverLargeJobs(t *testing.T) {
+	for _, j := range []largeJobs{
+		{2, 2150, true, false}, {3, ledger.MaxTasks, true, false}, {2, 2150, true, true},
+		{2, 2150, false, true}, {3, ledger.MaxTasks, false, false},
+	} {
 		t.Run(j.String(), func(t *testing.T) {
 			l, c := &emulator.Log{}, &emulator.Cell{RunTime: time.Hour}
 			j.write(t, l, c)
 			c.SetRunTime(200 * time.Millisecond)
 			listWorkers(t, l)
-			serves(t, []*member{start(t, "e0", l, c), start(t, "e1", l, c)})
+			members := []*member{start(t, "e0", l, c), start(t, "e1", l, c)}
+			for n := range j.jobs {
+				if !j.cancelled {
+					members[n%2].completes(t, largeID(n), largeTime)
+				}
+			}
+			serves(t, members)
+			assert.Equal(t, len(c.Violations()), 0, "%v", c.Violations())
 		})
 	}
 }
